--- a/src/main/java/dahliathread/Choice.java
+++ b/src/main/java/fawnlb/Choice.java
@@ -1,4 +1,4 @@
-package dahliathread;
+package fawnlb;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/dahliathread/Main.java
+++ b/src/main/java/fawnlb/Main.java
@@ -1,6 +1,6 @@
-package dahliathread;
+package fawnlb;
 
-import dahliathread.wire.Drill;
+import fawnlb.wire.Drill;
 import java.io.BufferedInputStream;
 import java.io.FileInputStream;
 import java.io.FileDescriptor;
@@ -13,14 +13,14 @@
 
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar dahliathread.jar drill");
+            System.err.println("usage: java -jar fawnlb.jar drill");
             System.exit(2);
         }
         try {
             new Drill(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
                     new FileOutputStream(FileDescriptor.out)).run();
         } catch (IOException e) {
-            System.err.println("dahliathread: " + e.getMessage());
+            System.err.println("fawnlb: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/dahliathread/wire/Drill.java
+++ b/src/main/java/fawnlb/wire/Drill.java
@@ -1,11 +1,11 @@
-package dahliathread.wire;
-
-import dahliathread.Balancer;
-import dahliathread.Balancer.ListKind;
-import dahliathread.Balancer.Outcome;
-import dahliathread.Balancer.Phase;
-import dahliathread.Balancer.Replica;
-import dahliathread.Choice;
+package fawnlb.wire;
+
+import fawnlb.Balancer;
+import fawnlb.Balancer.ListKind;
+import fawnlb.Balancer.Outcome;
+import fawnlb.Balancer.Phase;
+import fawnlb.Balancer.Replica;
+import fawnlb.Choice;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/main/java/dahliathread/wire/Frames.java
+++ b/src/main/java/fawnlb/wire/Frames.java
@@ -1,4 +1,4 @@
-package dahliathread.wire;
+package fawnlb.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/dahliathread/wire/Reply.java
+++ b/src/main/java/fawnlb/wire/Reply.java
@@ -1,6 +1,6 @@
-package dahliathread.wire;
+package fawnlb.wire;
 
-import dahliathread.Balancer;
+import fawnlb.Balancer;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
--- a/src/main/java/dahliathread/wire/SettingsParser.java
+++ b/src/main/java/fawnlb/wire/SettingsParser.java
@@ -1,15 +1,15 @@
-package dahliathread.wire;
+package fawnlb.wire;
 
-import dahliathread.Balancer.Costs;
-import dahliathread.Balancer.Discovery;
-import dahliathread.Balancer.Effect;
-import dahliathread.Balancer.Group;
-import dahliathread.Balancer.Limits;
-import dahliathread.Balancer.Reports;
-import dahliathread.Balancer.RequestClass;
-import dahliathread.Balancer.Rules;
-import dahliathread.Balancer.Settings;
-import dahliathread.Balancer.Tenant;
+import fawnlb.Balancer.Costs;
+import fawnlb.Balancer.Discovery;
+import fawnlb.Balancer.Effect;
+import fawnlb.Balancer.Group;
+import fawnlb.Balancer.Limits;
+import fawnlb.Balancer.Reports;
+import fawnlb.Balancer.RequestClass;
+import fawnlb.Balancer.Rules;
+import fawnlb.Balancer.Settings;
+import fawnlb.Balancer.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -85,7 +85,7 @@
         try {
             return reader.apply(value);
         } catch (IllegalArgumentException e) {
-            complaints.add("dahliathread: setting " + path + " cannot be read: '" + value + "'; using " + missing);
+            complaints.add("fawnlb: setting " + path + " cannot be read: '" + value + "'; using " + missing);
             return missing;
         }
     }
--- a/src/test/java/dahliathread/ExceptionsTest.java
+++ b/src/test/java/fawnlb/ExceptionsTest.java
@@ -1,17 +1,17 @@
-package dahliathread;
+package fawnlb;
 
-import static dahliathread.Rig.MS;
-import static dahliathread.Rig.S;
-import static dahliathread.Rig.replica;
+import static fawnlb.Rig.MS;
+import static fawnlb.Rig.S;
+import static fawnlb.Rig.replica;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dahliathread.Balancer.ListKind;
-import dahliathread.Balancer.Outcome;
-import dahliathread.Balancer.Phase;
-import dahliathread.Balancer.Refuse;
-import dahliathread.Balancer.Send;
+import fawnlb.Balancer.ListKind;
+import fawnlb.Balancer.Outcome;
+import fawnlb.Balancer.Phase;
+import fawnlb.Balancer.Refuse;
+import fawnlb.Balancer.Send;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
--- a/src/test/java/dahliathread/LimitsTest.java
+++ b/src/test/java/fawnlb/LimitsTest.java
@@ -1,4 +1,4 @@
-package dahliathread;
+package fawnlb;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,7 +13,7 @@
 class LimitsTest {
     @Test
     void choiceStaysShortAndNarrow() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/dahliathread/Choice.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/fawnlb/Choice.java"));
         assertTrue(lines.stream().filter(line -> !line.isBlank()).count() <= 850);
         assertEquals(List.of(), lines.stream().filter(line -> line.length() > 110).toList());
     }
--- a/src/test/java/dahliathread/RingTest.java
+++ b/src/test/java/fawnlb/RingTest.java
@@ -1,13 +1,13 @@
-package dahliathread;
+package fawnlb;
 
-import static dahliathread.Rig.replica;
+import static fawnlb.Rig.replica;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dahliathread.Balancer.ListKind;
-import dahliathread.Balancer.Outcome;
-import dahliathread.Balancer.Phase;
+import fawnlb.Balancer.ListKind;
+import fawnlb.Balancer.Outcome;
+import fawnlb.Balancer.Phase;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
--- a/src/test/java/dahliathread/wire/DrillTest.java
+++ b/src/test/java/fawnlb/wire/DrillTest.java
@@ -1,4 +1,4 @@
-package dahliathread.wire;
+package fawnlb.wire;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
