A node that serves: Undertow front, core, targets and discovery round the module

The core (flow) owns each flow and knows no wire; target, discovery and platform speak the sockets, all as actors on one XNIO I/O thread. Undertow's own client is left aside for calls to targets: it can't take back a connect that never comes up, so each call to a vanished target would hold a descriptor for minutes.

--- a/src/main/java/fawnlb/Balancer.java
+++ b/src/main/java/fawnlb/Balancer.java
@@ -51,10 +51,25 @@
     /** What the site counts against us: an attempt that leaves its zone, and work that served no answer. */
     record Costs(double crossZone, double waste) { }
 
+    /** What the numbers of classes, tenants, zones and kinds stand for; a real node meets them by name. */
+    record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds) { }
+
+    /** Times of connections to replicas: until one is up, and until an idle one is closed by the replica. */
+    record Connections(long timeout, long idle) { }
+
     /** Start settings of one router: its number, how many routers there are, its zone, and the rest. */
     record Settings(int me, int routers, int zone, long tick, boolean resume, Discovery discovery, Reports reports,
                     List<String> reportFields, List<RequestClass> classes, List<Tenant> tenants, Limits limits,
-                    Rules rules, Costs costs) { }
+                    Rules rules, Costs costs, Names names, Connections connections) {
+
+        /** Settings of a module without a real node round it. */
+        public Settings(int me, int routers, int zone, long tick, boolean resume, Discovery discovery,
+                        Reports reports, List<String> reportFields, List<RequestClass> classes,
+                        List<Tenant> tenants, Limits limits, Rules rules, Costs costs) {
+            this(me, routers, zone, tick, resume, discovery, reports, reportFields, classes, tenants, limits, rules,
+                    costs, new Names(List.of(), List.of(), List.of(), List.of()), new Connections(0, 0));
+        }
+    }
 
     // ---- Events ---------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/src/main/java/fawnlb/actor/IoTimers.java
@@ -0,0 +1,24 @@
+package fawnlb.actor;
+
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+
+/** Timers of an XNIO I/O thread. The clock is set once by the wall clock and runs on the monotonic one. */
+public final class IoTimers implements Timers {
+    private final XnioExecutor executor;
+    private final long base = System.currentTimeMillis() * 1_000_000L - System.nanoTime();
+
+    public IoTimers(XnioExecutor executor) {
+        this.executor = executor;
+    }
+
+    @Override
+    public long now() {
+        return base + System.nanoTime();
+    }
+
+    @Override
+    public Timer after(long nanos, Runnable task) {
+        return executor.executeAfter(task, Math.max(0, nanos), TimeUnit.NANOSECONDS)::remove;
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/actor/Mailbox.java
@@ -0,0 +1,66 @@
+package fawnlb.actor;
+
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The mailbox of one actor: its messages run one at a time, in the order in which they were told, on the
+ * given executor. An actor's state is touched by its own messages alone.
+ */
+public final class Mailbox {
+    private static final Logger LOG = Logger.getLogger(Mailbox.class.getName());
+    /** So many messages run in one go; then other actors have their turn. */
+    private static final int TURN = 64;
+
+    private final Executor executor;
+    private final int bound;
+    private final ConcurrentLinkedQueue<Runnable> messages = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger size = new AtomicInteger();
+    private final AtomicBoolean scheduled = new AtomicBoolean();
+
+    public Mailbox(Executor executor, int bound) {
+        this.executor = executor;
+        this.bound = bound;
+    }
+
+    /** Leaves a message; false, and nothing left, if the mailbox is full. */
+    public boolean tell(Runnable message) {
+        if (size.incrementAndGet() > bound) {
+            size.decrementAndGet();
+            return false;
+        }
+        messages.add(message);
+        schedule();
+        return true;
+    }
+
+    private void schedule() {
+        if (scheduled.compareAndSet(false, true)) {
+            executor.execute(this::turn);
+        }
+    }
+
+    private void turn() {
+        for (int i = 0; i < TURN; i++) {
+            Runnable message = messages.poll();
+            if (message == null) {
+                break;
+            }
+            size.decrementAndGet();
+            try {
+                message.run();
+            } catch (RuntimeException e) {
+                // One bad message must not end the thread that all actors share.
+                LOG.log(Level.SEVERE, "message failed", e);
+            }
+        }
+        scheduled.set(false);
+        if (!messages.isEmpty()) {
+            schedule();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/cli/Node.java
@@ -0,0 +1,105 @@
+package fawnlb.cli;
+
+import fawnlb.Balancer;
+import fawnlb.Balancer.Settings;
+import fawnlb.Choice;
+import fawnlb.actor.IoTimers;
+import fawnlb.actor.Mailbox;
+import fawnlb.config.NodeConfig;
+import fawnlb.discovery.Discovery;
+import fawnlb.discovery.Member;
+import fawnlb.discovery.MemberList;
+import fawnlb.flow.Flows;
+import fawnlb.platform.PlatformFront;
+import fawnlb.target.TargetPool;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Logger;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** One running node: its actors, all on one I/O thread, and its planned end. */
+final class Node {
+    private static final Logger LOG = Logger.getLogger(Node.class.getName());
+    private static final long SECOND = 1_000_000_000L;
+    /** Clients are left waiting at most 5 s after a target's last event; a silent stream is cut before. */
+    private static final long SILENCE = 4 * SECOND + SECOND / 2;
+    private static final long PROBE = SECOND / 2;
+    /** New connections keep coming for up to 0.4 s after SIGTERM. */
+    private static final long STILL_ACCEPTED_MS = 600;
+    private static final int MAILBOX = 8192;
+    private static final int BUFFER = 8192;
+
+    private final NodeConfig config;
+    private Undertow server;
+    private PlatformFront front;
+    private Flows flows;
+
+    Node(NodeConfig config) {
+        this.config = config;
+    }
+
+    void start() throws Exception {
+        Settings settings = config.settings();
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.THREAD_DAEMON, false).getMap());
+        XnioIoThread thread = worker.getIoThread();
+        IoTimers timers = new IoTimers(thread);
+        int clients = config.sockets() * 6 / 10;
+        TargetPool targets = new TargetPool(thread, timers, new TargetPool.Limits(settings.connections().timeout(),
+                settings.connections().idle(), SILENCE, PROBE, config.sockets() * 3 / 10, settings.reportFields()));
+        Flows[] core = new Flows[1];
+        Discovery discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(),
+                (kind, list) -> core[0].listed(listed(kind, list, targets)));
+        flows = new Flows(settings, config.seed(), Choice::new, new Mailbox(thread, MAILBOX), timers, targets, discovery);
+        core[0] = flows;
+        front = new PlatformFront(flows, settings);
+        discovery.known(config.known() == null ? new MemberList(0, true, List.of()) : config.known());
+        server = Undertow.builder().setWorker(worker)
+                .setByteBufferPool(new DefaultByteBufferPool(true, BUFFER, 256, 0))
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 1L << 20)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, clients)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, clients - 8)
+                .addHttpListener(config.listen().getPort(), config.listen().getHostString()).setHandler(front).build();
+        server.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
+        LOG.info(config.name() + " serves on " + config.listen());
+    }
+
+    private Balancer.Listed listed(Balancer.ListKind kind, MemberList list, TargetPool targets) {
+        if (list == null) {
+            return new Balancer.Listed(kind, 0, List.of());
+        }
+        List<Balancer.Replica> replicas = new ArrayList<>();
+        for (Member member : list.members()) {
+            targets.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.phase());
+            replicas.add(new Balancer.Replica(member.number(), member.phase(), member.upSinceMillis() * 1_000_000,
+                    member.size(), Math.max(0, config.settings().names().zones().indexOf(member.zone())), member.cell(),
+                    Math.max(0, config.settings().names().kinds().indexOf(member.kind()))));
+        }
+        return new Balancer.Listed(kind, list.revision(), replicas);
+    }
+
+    /** SIGTERM: takes what still comes for a moment, answers all that was taken, and ends. */
+    private void drain() {
+        front.drain();
+        try {
+            Thread.sleep(STILL_ACCEPTED_MS);
+            while (flows.open() > 0 || front.serving() > 0) {
+                Thread.sleep(20);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/fawnlb/wire/SettingsParser.java
+++ b/src/main/java/fawnlb/config/SettingsParser.java
@@ -1,10 +1,12 @@
-package fawnlb.wire;
+package fawnlb.config;
 
+import fawnlb.Balancer.Connections;
 import fawnlb.Balancer.Costs;
 import fawnlb.Balancer.Discovery;
 import fawnlb.Balancer.Effect;
 import fawnlb.Balancer.Group;
 import fawnlb.Balancer.Limits;
+import fawnlb.Balancer.Names;
 import fawnlb.Balancer.Reports;
 import fawnlb.Balancer.RequestClass;
 import fawnlb.Balancer.Rules;
@@ -21,14 +23,18 @@
  * get the careful default given here: nothing is allowed that was not said, a class is unsafe, drains
  * count at once, and a cold replica has a tenth of its capacity for half a minute.
  */
-final class SettingsParser {
+public final class SettingsParser {
     private static final long SECOND = 1_000_000_000L;
     private static final int MOST_ITEMS = 10_000;
 
     private final Map<String, String> values = new HashMap<>();
     private final List<String> complaints = new ArrayList<>();
 
-    SettingsParser(String pairs) {
+    public SettingsParser(Map<String, String> pairs) {
+        values.putAll(pairs);
+    }
+
+    public SettingsParser(String pairs) {
         for (String line : pairs.split("\n")) {
             int at = line.indexOf('=');
             if (at > 0) {
@@ -38,11 +44,11 @@
     }
 
     /** A plain line for each value that could not be read. */
-    List<String> complaints() {
+    public List<String> complaints() {
         return complaints;
     }
 
-    Settings settings() {
+    public Settings settings() {
         List<RequestClass> classes = new ArrayList<>();
         List<Double> perThousand = doubles("family-info.aim-us-per-1000-prompt-tokens");
         List<Double> tokenAims = doubles("family-info.token-aim-ns");
@@ -74,7 +80,22 @@
                 time("tick-ns", 1_000_000), truth("family-info.resume"), discovery, reports,
                 fields.isEmpty() ? List.of() : List.of(fields.split(",")), List.copyOf(classes),
                 List.copyOf(tenants), limits, rules,
-                new Costs(real("costs.cross-zone", 0), real("costs.waste", 0)));
+                new Costs(real("costs.cross-zone", 0), real("costs.waste", 0)),
+                new Names(named("profiles.", count), named("orgs.", orgs), list("localities"), list("host-types")),
+                new Connections(time("limits.connect-timeout-ns", SECOND / 4), time("limits.conn-idle-ns", 15 * SECOND)));
+    }
+
+    private List<String> named(String path, int count) {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            names.add(values.getOrDefault(path + i + ".name", ""));
+        }
+        return List.copyOf(names);
+    }
+
+    private List<String> list(String path) {
+        String text = values.getOrDefault(path, "");
+        return text.isEmpty() ? List.of() : List.of(text.split(","));
     }
 
     private <T> T read(String path, T missing, Function<String, T> reader) {
--- /dev/null
+++ b/src/main/java/fawnlb/discovery/Discovery.java
@@ -0,0 +1,182 @@
+package fawnlb.discovery;
+
+import fawnlb.Balancer.ListKind;
+import fawnlb.actor.Mailbox;
+import fawnlb.actor.Timers;
+import fawnlb.flow.Roster;
+import fawnlb.http.Connection;
+import fawnlb.http.Response;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BiConsumer;
+import java.util.logging.Logger;
+import org.xnio.XnioIoThread;
+
+/** The list's actor: fetches the whole list, and watches its changes on a connection that stays open. */
+public final class Discovery implements Roster {
+    private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
+    private static final long SECOND = 1_000_000_000L;
+    private static final long CONNECT = SECOND;
+    /** Calls wait their turn at a service that all nodes share. */
+    private static final long ANSWER = 3 * SECOND;
+    /** A watch says something every 2 s, if only an empty line. What is not told counts as told 6 s later,
+     *  so a watch that has fallen silent must be given up well before. */
+    private static final long SILENCE = 3 * SECOND + SECOND / 2;
+    private static final int LONGEST_LINE = 4 << 20;
+
+    private final XnioIoThread thread;
+    private final Timers timers;
+    private final Mailbox mailbox;
+    private final InetSocketAddress address;
+    private final BiConsumer<ListKind, MemberList> subscriber;
+    private long revision;
+    private Watch watch;
+
+    /** The subscriber hears of every list, and of every failed call with the list {@code null}. */
+    public Discovery(XnioIoThread thread, Timers timers, Mailbox mailbox, InetSocketAddress address,
+                     BiConsumer<ListKind, MemberList> subscriber) {
+        this.thread = thread;
+        this.timers = timers;
+        this.mailbox = mailbox;
+        this.address = address;
+        this.subscriber = subscriber;
+    }
+
+    /** The list as this node last had it, before any is asked for. */
+    public void known(MemberList list) {
+        mailbox.tell(() -> {
+            revision = list.revision();
+            subscriber.accept(ListKind.CACHED, list);
+        });
+    }
+
+    @Override
+    public void subscribe() {
+        mailbox.tell(() -> {
+            if (watch != null) {
+                watch.drop();
+            }
+            watch = new Watch("/registry/instances?watch=1&from=" + revision, true);
+            watch.begin();
+        });
+    }
+
+    @Override
+    public void fetch() {
+        mailbox.tell(() -> new Watch("/registry/instances", false).begin());
+    }
+
+    private void line(String text, boolean watching) throws IOException {
+        MemberList list = MemberList.parse(text);
+        if (watching && !list.complete() && list.revision() < revision) {
+            // Changes older than what is held would undo newer ones: ask again for all that came since.
+            throw new IOException("revision " + list.revision() + " after " + revision);
+        }
+        revision = Math.max(revision, list.revision());
+        subscriber.accept(list.complete() ? ListKind.FULL : ListKind.DELTA, list);
+    }
+
+    /** One call: a watch, or a fetch of the whole list. */
+    private final class Watch implements Connection.Call {
+        private final String path;
+        private final boolean watching;
+        private final LineSplitter lines = new LineSplitter(LONGEST_LINE);
+        private final StringBuilder whole = new StringBuilder();
+        private Connection connection;
+        private Timers.Timer patience;
+        private boolean done;
+
+        Watch(String path, boolean watching) {
+            this.path = path;
+            this.watching = watching;
+        }
+
+        void begin() {
+            expect(ANSWER);
+            Connection.open(thread, timers, address, CONNECT, opened -> {
+                connection = opened;
+                if (opened == null) {
+                    fail("no connection");
+                } else if (done) {
+                    opened.close();
+                } else {
+                    opened.send(ByteBuffer.wrap(("GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ':'
+                            + address.getPort() + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1)), this);
+                }
+            });
+        }
+
+        private void expect(long time) {
+            if (patience != null) {
+                patience.cancel();
+            }
+            patience = timers.after(time, () -> mailbox.tell(() -> fail("silent")));
+        }
+
+        @Override
+        public void head(Response response) {
+            if (response.status() != 200) {
+                fail("status " + response.status());
+            }
+        }
+
+        @Override
+        public void body(ByteBuffer bytes) {
+            if (done) {
+                return;
+            }
+            if (watching) {
+                expect(SILENCE);
+            }
+            try {
+                for (String text : lines.feed(bytes)) {
+                    if (!watching) {
+                        whole.append(text);
+                    } else if (!text.isBlank()) {
+                        line(text, true);
+                    }
+                }
+                connection.more();
+            } catch (IOException e) {
+                fail(e.getMessage());
+            }
+        }
+
+        @Override
+        public void end(boolean reusable) {
+            try {
+                if (watching) {
+                    fail("ended");
+                } else if (!done) {
+                    line(whole.append(lines.rest()).toString(), false);
+                    drop();
+                }
+            } catch (IOException e) {
+                fail(e.getMessage());
+            }
+        }
+
+        @Override
+        public void broken(boolean written) {
+            fail("broken");
+        }
+
+        private void fail(String why) {
+            if (!done) {
+                drop();
+                LOG.info("discovery: " + (watching ? "watch " : "fetch ") + why);
+                subscriber.accept(ListKind.FAILED, null);
+            }
+        }
+
+        void drop() {
+            done = true;
+            patience.cancel();
+            if (connection != null) {
+                connection.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/discovery/Member.java
@@ -0,0 +1,21 @@
+package fawnlb.discovery;
+
+import fawnlb.Balancer.Phase;
+
+/** A target as discovery lists it. */
+public record Member(String id, String host, int port, String zone, String kind, int cell, Phase phase, double size,
+                     long upSinceMillis) {
+
+    /** The same number at every node: a target's place on the ring comes from it. */
+    public long number() {
+        int dash = id.lastIndexOf('-');
+        if (id.substring(dash + 1).matches("[0-9a-f]{8}")) {
+            return Long.parseLong(id.substring(dash + 1), 16);
+        }
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < id.length(); i++) {
+            hash = (hash ^ id.charAt(i)) * 0x100000001b3L;
+        }
+        return hash >>> 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/flow/Flows.java
@@ -0,0 +1,270 @@
+package fawnlb.flow;
+
+import fawnlb.Balancer;
+import fawnlb.Balancer.Outcome;
+import fawnlb.actor.Mailbox;
+import fawnlb.actor.Timers;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
+
+/**
+ * The core: the module's actor and the owner of every flow from taken to its one final answer. It carries
+ * out what the module decides and knows nothing of how clients and targets speak.
+ */
+public final class Flows {
+    private static final Logger LOG = Logger.getLogger(Flows.class.getName());
+    /** A flow ends so long before its client gives up, for the way back and a late timer. */
+    private static final long MARGIN = 10_000_000;
+    /** If the module has no answer by then, the core gives one: a flow is never left open. */
+    private static final long LAST_CALL = 5_000_000;
+    private static final long DEFAULT_RETRY_AFTER = 1_000_000_000;
+
+    private final Balancer.Settings settings;
+    private final Balancer balancer;
+    private final Mailbox mailbox;
+    private final Timers timers;
+    private final Targets targets;
+    private final Roster roster;
+    private final Map<Long, Flow> flows = new HashMap<>();
+    private long lastId;
+    private volatile int open;
+
+    /** Makes the module. */
+    @FunctionalInterface
+    public interface Maker {
+        Balancer make(Balancer.Settings settings, long seed, Balancer.Sink sink);
+    }
+
+    public Flows(Balancer.Settings settings, long seed, Maker maker, Mailbox mailbox, Timers timers,
+                 Targets targets, Roster roster) {
+        this.settings = settings;
+        this.mailbox = mailbox;
+        this.timers = timers;
+        this.targets = targets;
+        this.roster = roster;
+        this.balancer = maker.make(settings, seed, this::act);
+    }
+
+    /** What a front keeps of a flow that it handed in. */
+    public interface Ticket {
+        /** The client has left; nothing more is owed to it. */
+        void gone();
+    }
+
+    private static final class Flow {
+        final long id;
+        final Ask ask;
+        final Listener listener;
+        final long deadline;
+        Timers.Timer lastCall;
+        boolean over;
+        int attempts;
+        Outcome last;
+        Out out;
+
+        Flow(long id, Ask ask, Listener listener, long deadline) {
+            this.id = id;
+            this.ask = ask;
+            this.listener = listener;
+            this.deadline = deadline;
+        }
+    }
+
+    /** The one forward of a flow that is out. */
+    private static final class Out {
+        final int number;
+        final long target;
+        final long sentAt;
+        Targets.Forward forward;
+        Timers.Timer stop;
+        boolean streaming;
+
+        Out(int number, long target, long sentAt) {
+            this.number = number;
+            this.target = target;
+            this.sentAt = sentAt;
+        }
+    }
+
+    /** Flows without their final answer or with a forward still out. */
+    public int open() {
+        return open;
+    }
+
+    /** Takes a flow; null if there is no room for one more, and the front must refuse it. */
+    public Ticket take(Ask ask, Listener listener) {
+        long taken = timers.now();
+        Ticket[] ticket = new Ticket[1];
+        Flow[] flow = new Flow[1];
+        boolean room = open < settings.limits().open() && mailbox.tell(() -> flow[0] = begin(ask, listener, taken));
+        ticket[0] = () -> mailbox.tell(() -> gone(flow[0]));
+        return room ? ticket[0] : null;
+    }
+
+    /** News of the list, in the order in which it came. */
+    public void listed(Balancer.Listed news) {
+        mailbox.tell(() -> tell(news));
+    }
+
+    private void tell(Balancer.Event event) {
+        balancer.on(timers.now(), event);
+    }
+
+    private Flow begin(Ask ask, Listener listener, long taken) {
+        long patience = Math.max(0, ask.patience() - MARGIN);
+        Flow flow = new Flow(++lastId, ask, listener, taken + patience);
+        flows.put(flow.id, flow);
+        open = flows.size();
+        flow.lastCall = timers.after(flow.deadline + LAST_CALL - timers.now(), () -> mailbox.tell(() -> lastCall(flow)));
+        tell(new Balancer.Request(flow.id, ask.type(), ask.tenant(), ask.session(), ask.prefix(),
+                Math.max(0, flow.deadline - timers.now()), 0, ask.promptTokens(), ask.prefixTokens(),
+                ask.maxTokens(), false, ask.repeat(), false));
+        return flow;
+    }
+
+    private void gone(Flow flow) {
+        if (flow == null || flow.over && flow.out == null) {
+            return;
+        }
+        boolean owed = !flow.over;
+        close(flow);
+        if (owed) {
+            tell(new Balancer.ClientGone(flow.id));
+        }
+        stop(flow, Outcome.CANCELLED);
+    }
+
+    private void lastCall(Flow flow) {
+        if (!flow.over) {
+            LOG.warning("flow " + flow.id + " had no answer at its deadline");
+            finish(flow, () -> flow.listener.refused(flow.last, retryAfter(0)));
+            tell(new Balancer.ClientGone(flow.id));
+        }
+    }
+
+    /** Gives the final answer, unless it has been given, and ends what is still out. */
+    private void finish(Flow flow, Runnable answer) {
+        if (flow == null || flow.over) {
+            return;
+        }
+        close(flow);
+        answer.run();
+        stop(flow, Outcome.CANCELLED);
+    }
+
+    private void close(Flow flow) {
+        flow.over = true;
+        flow.lastCall.cancel();
+        forget(flow);
+    }
+
+    private void forget(Flow flow) {
+        if (flow.over && flow.out == null) {
+            flows.remove(flow.id);
+            open = flows.size();
+        }
+    }
+
+    private void stop(Flow flow, Outcome outcome) {
+        if (flow.out != null && flow.out.forward != null) {
+            flow.out.forward.stop(outcome);
+        }
+    }
+
+    private long retryAfter(long advice) {
+        long given = advice > 0 ? advice : settings.limits().maxRetryAfter();
+        return given > 0 ? given : DEFAULT_RETRY_AFTER;
+    }
+
+    // ---- What the module asks for ---------------------------------------------------------------------
+
+    private void act(Balancer.Action action) {
+        if (action instanceof Balancer.Send a) {
+            send(a);
+        } else if (action instanceof Balancer.Cancel a) {
+            Flow flow = flows.get(a.request());
+            if (flow != null && flow.out != null && flow.out.number == a.attempt() && !flow.out.streaming) {
+                stop(flow, Outcome.CANCELLED);
+            }
+        } else if (action instanceof Balancer.Refuse a) {
+            Flow flow = flows.get(a.request());
+            finish(flow, () -> flow.listener.refused(flow.last, retryAfter(a.retryAfter())));
+        } else if (action instanceof Balancer.Fail a) {
+            Flow flow = flows.get(a.request());
+            finish(flow, () -> flow.listener.failed(flow.last));
+        } else if (action instanceof Balancer.Timer a) {
+            timers.after(a.at() - timers.now(), () -> mailbox.tell(() -> tell(new Balancer.TimerDue(a.token()))));
+        } else if (action instanceof Balancer.Subscribe) {
+            roster.subscribe();
+        } else if (action instanceof Balancer.Fetch) {
+            roster.fetch();
+        } else if (action instanceof Balancer.Probe a) {
+            long sentAt = timers.now();
+            targets.probe(a.replica(), (outcome, load) -> mailbox.tell(() ->
+                    tell(new Balancer.Probed(a.replica(), outcome, timers.now() - sentAt, load))));
+        } else if (action instanceof Balancer.Log a) {
+            LOG.info(a.text());
+        }
+    }
+
+    private void send(Balancer.Send send) {
+        Flow flow = flows.get(send.request());
+        // Never a forward for a flow that is over, a second one beside another, or one more than allowed.
+        if (flow == null || flow.over || flow.out != null || flow.attempts >= settings.limits().attempts()) {
+            int number = flow == null ? 0 : flow.attempts++;
+            boolean over = flow == null || flow.over;
+            mailbox.tell(() -> tell(new Balancer.Ended(send.request(), number, send.replica(), Outcome.NEVER_SENT,
+                    over, 0, 0, List.of())));
+            return;
+        }
+        long now = timers.now();
+        long stopAt = send.stopAt() > 0 ? Math.min(send.stopAt(), flow.deadline) : flow.deadline;
+        Out out = new Out(flow.attempts++, send.replica(), now);
+        flow.out = out;
+        out.stop = timers.after(stopAt - now, () -> mailbox.tell(() -> {
+            if (flow.out == out && !out.streaming) {
+                stop(flow, Outcome.TIMEOUT);
+            }
+        }));
+        out.forward = targets.forward(send.replica(), flow.ask.parcel(), Math.max(0, stopAt - now),
+                new Targets.Report() {
+                    @Override
+                    public void started(Source source) {
+                        mailbox.tell(() -> Flows.this.started(flow, out, source));
+                    }
+
+                    @Override
+                    public void ended(Outcome outcome, long kept, List<Double> load) {
+                        mailbox.tell(() -> Flows.this.ended(flow, out, outcome, kept, load));
+                    }
+                });
+    }
+
+    // ---- What becomes of forwards ---------------------------------------------------------------------
+
+    private void started(Flow flow, Out out, Source source) {
+        if (flow.out != out || flow.over) {
+            return;
+        }
+        out.streaming = true;
+        out.stop.cancel();
+        flow.over = true;
+        flow.lastCall.cancel();
+        tell(new Balancer.Started(flow.id, out.number, out.target, timers.now() - out.sentAt));
+        flow.listener.streaming(source);
+    }
+
+    private void ended(Flow flow, Out out, Outcome outcome, long kept, List<Double> load) {
+        if (flow.out != out) {
+            return;
+        }
+        flow.out = null;
+        flow.last = outcome;
+        out.stop.cancel();
+        boolean over = flow.over;
+        forget(flow);
+        tell(new Balancer.Ended(flow.id, out.number, out.target, outcome, over, timers.now() - out.sentAt, kept, load));
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/http/Connection.java
@@ -0,0 +1,200 @@
+package fawnlb.http;
+
+import fawnlb.actor.Timers;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+
+/**
+ * The client's side of one HTTP/1.1 connection: one call at a time, never sent again by itself. All of it
+ * runs on one I/O thread.
+ */
+public final class Connection {
+    private static final int READ_SIZE = 16 * 1024;
+    private static final ByteBuffer READ = ByteBuffer.allocateDirect(READ_SIZE);
+
+    private final StreamConnection channel;
+    private ByteBuffer request;
+    private ResponseParser parser;
+    private Call call;
+    private boolean headTold;
+    private boolean closed;
+
+    /** What becomes of one call: perhaps head and pieces of the body, and always one of the two ends. */
+    public interface Call {
+        void head(Response response);
+
+        /** The next piece comes when {@link Connection#more} is called. */
+        void body(ByteBuffer bytes);
+
+        /** The response is whole. */
+        void end(boolean reusable);
+
+        /** The call broke. Written: the request's last byte had been handed to the network. */
+        void broken(boolean written);
+    }
+
+    /** A connect that has not come up. */
+    public interface Connecting {
+        void cancel();
+    }
+
+    /** Hears whether a connect came up: a connection, or null. */
+    @FunctionalInterface
+    public interface Opened {
+        void opened(Connection connection);
+    }
+
+    private Connection(StreamConnection channel) {
+        this.channel = channel;
+        channel.getSourceChannel().setReadListener(c -> readable());
+        channel.getSinkChannel().setWriteListener(c -> writable());
+        channel.getSourceChannel().resumeReads();
+    }
+
+    /** Connects; the answer comes once, at the latest after {@code timeout} nanoseconds. */
+    public static Connecting open(XnioIoThread thread, Timers timers, InetSocketAddress address, long timeout,
+                                  Opened opened) {
+        IoFuture<StreamConnection> future = thread.openStreamConnection(address, null,
+                OptionMap.create(Options.TCP_NODELAY, true));
+        // Taking the connect back frees its descriptor; one to a vanished machine would hold it for minutes.
+        Timers.Timer timer = timers.after(timeout, future::cancel);
+        future.addNotifier((f, none) -> thread.execute(() -> {
+            timer.cancel();
+            opened.opened(f.getStatus() == IoFuture.Status.DONE ? done(f) : null);
+        }), null);
+        return future::cancel;
+    }
+
+    private static Connection done(IoFuture<? extends StreamConnection> future) {
+        try {
+            return new Connection(future.get());
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    public boolean isOpen() {
+        return !closed && channel.isOpen();
+    }
+
+    public void close() {
+        closed = true;
+        call = null;
+        IoUtils.safeClose(channel);
+    }
+
+    /** Sends a request, given whole. */
+    public void send(ByteBuffer bytes, Call to) {
+        request = bytes;
+        parser = new ResponseParser();
+        headTold = false;
+        call = to;
+        writable();
+    }
+
+    /** Asks for the next piece of the body. */
+    public void more() {
+        if (!closed) {
+            channel.getSourceChannel().wakeupReads();
+        }
+    }
+
+    private void writable() {
+        try {
+            while (request != null && request.hasRemaining()) {
+                if (channel.getSinkChannel().write(request) == 0) {
+                    channel.getSinkChannel().resumeWrites();
+                    return;
+                }
+            }
+            if (!channel.getSinkChannel().flush()) {
+                channel.getSinkChannel().resumeWrites();
+                return;
+            }
+            request = null;
+            channel.getSinkChannel().suspendWrites();
+        } catch (IOException e) {
+            // The answer may have been sent before the other side closed: readable() looks for it.
+            channel.getSinkChannel().suspendWrites();
+            channel.getSourceChannel().wakeupReads();
+        }
+    }
+
+    private void readable() {
+        if (closed) {
+            return;
+        }
+        try {
+            READ.clear();
+            int n = channel.getSourceChannel().read(READ);
+            if (n == 0) {
+                channel.getSourceChannel().resumeReads();
+                return;
+            }
+            if (call == null) {
+                close();
+                return;
+            }
+            if (n < 0) {
+                finish(parser.eof());
+                return;
+            }
+            READ.flip();
+            ByteBuffer body = ByteBuffer.allocate(n);
+            parser.feed(READ, body);
+            body.flip();
+            tell(body);
+        } catch (IOException e) {
+            finish(false);
+        }
+    }
+
+    private void tell(ByteBuffer body) throws IOException {
+        if (parser.head() != null && !headTold) {
+            headTold = true;
+            call.head(parser.head());
+        }
+        if (closed) {
+            return;
+        }
+        boolean done = parser.done();
+        if (body.hasRemaining()) {
+            channel.getSourceChannel().suspendReads();
+            call.body(body);
+        }
+        if (done) {
+            finish(true);
+        }
+    }
+
+    private void finish(boolean whole) {
+        if (closed) {
+            return;
+        }
+        Call told = call;
+        boolean written = request == null;
+        boolean reusable = whole && written && parser.head().keepAlive();
+        call = null;
+        if (reusable) {
+            channel.getSourceChannel().resumeReads();
+        } else {
+            close();
+        }
+        if (told == null) {
+            return;
+        }
+        if (whole) {
+            told.end(reusable);
+        } else {
+            told.broken(written);
+        }
+    }
+
+}
--- a/src/main/java/fawnlb/wire/Drill.java
+++ b/src/main/java/fawnlb/wire/WireHost.java
@@ -6,6 +6,7 @@
 import fawnlb.Balancer.Phase;
 import fawnlb.Balancer.Replica;
 import fawnlb.Choice;
+import fawnlb.config.SettingsParser;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -15,7 +16,7 @@
 import java.util.Map;
 
 /** Hosts one {@link Choice} for each instance on the simulator's wire: translation only, no decisions. */
-public final class Drill {
+public final class WireHost {
     private static final int LISTS = 16;
     private static final int LIST_ENTRY = 22;
     private static final int HINTED = 1;
@@ -35,11 +36,11 @@
         Balancer make(Balancer.Settings settings, long seed, Balancer.Sink sink);
     }
 
-    public Drill(InputStream in, OutputStream out) {
+    public WireHost(InputStream in, OutputStream out) {
         this(in, out, Choice::new);
     }
 
-    Drill(InputStream in, OutputStream out, Maker maker) {
+    WireHost(InputStream in, OutputStream out, Maker maker) {
         this.maker = maker;
         this.in = new Frames(in);
         this.out = out;
--- a/src/test/java/fawnlb/wire/DrillTest.java
+++ b/src/test/java/fawnlb/wire/WireHostTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import fawnlb.config.SettingsParser;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -14,7 +15,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-class DrillTest {
+class WireHostTest {
     private static final String SETTINGS = "profiles.count=1\nprofiles.0.effect=safe\nprofiles.0.deadline-ns=4000000000\n";
 
     private static byte[] frame(int records, byte[] body) {
@@ -35,7 +36,7 @@
 
     private static byte[] play(byte[] input) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        new Drill(new ByteArrayInputStream(input), out).run();
+        new WireHost(new ByteArrayInputStream(input), out).run();
         return out.toByteArray();
     }
 
@@ -59,7 +60,7 @@
     @Test
     void aFaultInTheModuleIsDeclaredWithItsCause() throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        new Drill(new ByteArrayInputStream(day()), out, (settings, seed, sink) -> (now, event) -> {
+        new WireHost(new ByteArrayInputStream(day()), out, (settings, seed, sink) -> (now, event) -> {
             throw new IllegalStateException("broken sum");
         }).run();
         byte[] reply = out.toByteArray();
