Add the second front: a messages API under teams' contracts, with syslog records

dialect translates between chat completions and messages, as events come; contract holds teams' contracts and budgets; syslog writes RFC 5424 records over UDP and octet-counted TCP; messages is the front. The actor of a client's exchange moved to client, since both fronts use it.

--- a/src/main/java/fawnlb/cli/Main.java
+++ b/src/main/java/fawnlb/cli/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
 import fawnlb.wire.WireHost;
 import java.io.BufferedInputStream;
@@ -29,6 +30,8 @@
     private static class Configured {
         @Parameter(names = "--config", description = "the node's configuration (default: $PROXY_CONFIG)")
         private String config = System.getenv("PROXY_CONFIG");
+        @Parameter(names = "--broker", description = "the teams' contracts; without it the messages front is off")
+        private String broker;
 
         NodeConfig read() throws NodeConfig.Bad {
             if (config == null) {
@@ -38,13 +41,17 @@
             read.complaints().forEach(System.err::println);
             return read;
         }
+
+        BrokerConfig broker() throws NodeConfig.Bad {
+            return broker == null ? null : BrokerConfig.read(Path.of(broker));
+        }
     }
 
     @Parameters(commandDescription = "Run one node until it is told to end")
     private static final class Serve extends Configured implements Command {
         @Override
         public void run() throws Exception {
-            new Node(read()).start();
+            new Node(read(), broker()).start();
         }
     }
 
@@ -55,6 +62,11 @@
             NodeConfig read = read();
             System.out.println(read.name() + ": listens on " + read.listen() + ", " + read.settings().classes().size()
                     + " class(es), " + (read.known() == null ? 0 : read.known().members().size()) + " known target(s)");
+            BrokerConfig teams = broker();
+            if (teams != null) {
+                System.out.println("broker: listens on " + teams.listen() + ", " + teams.contracts().teams().size()
+                        + " team(s)");
+            }
         }
     }
 
--- a/src/main/java/fawnlb/cli/Node.java
+++ b/src/main/java/fawnlb/cli/Node.java
@@ -5,19 +5,28 @@
 import fawnlb.Choice;
 import fawnlb.actor.IoTimers;
 import fawnlb.actor.Mailbox;
+import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
+import fawnlb.dialect.Dialect;
 import fawnlb.discovery.Discovery;
 import fawnlb.discovery.Member;
 import fawnlb.discovery.MemberList;
 import fawnlb.flow.Flows;
+import fawnlb.messages.FlowLog;
+import fawnlb.messages.MessagesFront;
 import fawnlb.platform.PlatformFront;
+import fawnlb.syslog.SyslogRecord;
+import fawnlb.syslog.SyslogSender;
 import fawnlb.target.TargetPool;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.logging.Logger;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -38,22 +47,23 @@
     private static final int BUFFER = 8192;
 
     private final NodeConfig config;
-    private Undertow server;
+    private final BrokerConfig broker;
     private PlatformFront front;
     private Flows flows;
 
-    Node(NodeConfig config) {
+    /** Broker: the second front's configuration, null if it is off. */
+    Node(NodeConfig config, BrokerConfig broker) {
         this.config = config;
+        this.broker = broker;
     }
 
-    void start() throws Exception {
+    void start() throws IOException {
         Settings settings = config.settings();
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.THREAD_DAEMON, false).getMap());
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
-        int clients = config.sockets() * 6 / 10;
         TargetPool targets = new TargetPool(thread, timers, new TargetPool.Limits(settings.connections().timeout(),
                 settings.connections().idle(), SILENCE, PROBE, config.sockets() * 3 / 10, settings.reportFields()));
         Flows[] core = new Flows[1];
@@ -61,19 +71,41 @@
                 (kind, list) -> core[0].listed(listed(kind, list, targets)));
         flows = new Flows(settings, config.seed(), Choice::new, new Mailbox(thread, MAILBOX), timers, targets, discovery);
         core[0] = flows;
-        front = new PlatformFront(flows, settings);
         discovery.known(config.known() == null ? new MemberList(0, true, List.of()) : config.known());
-        server = Undertow.builder().setWorker(worker)
-                .setByteBufferPool(new DefaultByteBufferPool(true, BUFFER, 256, 0))
+        front = new PlatformFront(flows, settings, !messageKinds().isEmpty());
+        int clients = config.sockets() * 6 / 10;
+        listen(worker, config.listen(), front, broker == null ? clients : clients / 2);
+        if (broker != null) {
+            listen(worker, broker.listen(), new MessagesFront(flows, settings, broker.contracts(), timers,
+                    flowLog(thread, timers)), clients / 2);
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
+        LOG.info(config.name() + " serves on " + config.listen()
+                + (broker == null ? "" : ", teams on " + broker.listen()));
+    }
+
+    private static void listen(XnioWorker worker, InetSocketAddress address, HttpHandler handler, int connections) {
+        Undertow.builder().setWorker(worker).setByteBufferPool(new DefaultByteBufferPool(true, BUFFER, 256, 0))
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 1L << 20)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, clients)
-                .setSocketOption(Options.CONNECTION_LOW_WATER, clients - 8)
-                .addHttpListener(config.listen().getPort(), config.listen().getHostString()).setHandler(front).build();
-        server.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
-        LOG.info(config.name() + " serves on " + config.listen());
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, connections)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, connections - 8)
+                .addHttpListener(address.getPort(), address.getHostString()).setHandler(handler).build().start();
+    }
+
+    private FlowLog flowLog(XnioIoThread thread, IoTimers timers) throws IOException {
+        BrokerConfig.Syslog syslog = broker.syslog();
+        if (syslog == null) {
+            return new FlowLog(null, null);
+        }
+        return new FlowLog(new SyslogRecord(syslog.facility(), config.listen().getHostString(), "fawnlb",
+                Long.toString(ProcessHandle.current().pid())),
+                new SyslogSender(thread, timers, new Mailbox(thread, MAILBOX), syslog.collector(), syslog.tcp()));
+    }
+
+    private Set<String> messageKinds() {
+        return broker == null ? Set.of() : broker.messageKinds();
     }
 
     private Balancer.Listed listed(Balancer.ListKind kind, MemberList list, TargetPool targets) {
@@ -82,7 +114,8 @@
         }
         List<Balancer.Replica> replicas = new ArrayList<>();
         for (Member member : list.members()) {
-            targets.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.phase());
+            targets.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.phase(),
+                    messageKinds().contains(member.kind()) ? Dialect.MESSAGES : Dialect.CHAT);
             replicas.add(new Balancer.Replica(member.number(), member.phase(), member.upSinceMillis() * 1_000_000,
                     member.size(), Math.max(0, config.settings().names().zones().indexOf(member.zone())), member.cell(),
                     Math.max(0, config.settings().names().kinds().indexOf(member.kind()))));
--- a/src/main/java/fawnlb/platform/ClientExchange.java
+++ b/src/main/java/fawnlb/client/ClientExchange.java
@@ -1,4 +1,4 @@
-package fawnlb.platform;
+package fawnlb.client;
 
 import fawnlb.Balancer.Outcome;
 import fawnlb.actor.Mailbox;
@@ -16,11 +16,11 @@
 import org.xnio.channels.StreamSinkChannel;
 
 /** The actor of one client's exchange: passes the answer on as it comes, and sees the client leave. */
-final class ClientExchange implements Listener, Source.Sink {
+public final class ClientExchange implements Listener, Source.Sink {
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
     private final Mailbox mailbox;
-    private final Runnable finished;
+    private final Replies replies;
     private Flows.Ticket ticket;
     private Source source;
     private StreamSinkChannel channel;
@@ -28,15 +28,15 @@
     private boolean ended;
     private boolean done;
 
-    ClientExchange(HttpServerExchange exchange, Mailbox mailbox, Runnable finished) {
+    public ClientExchange(HttpServerExchange exchange, Mailbox mailbox, Replies replies) {
         this.exchange = exchange;
         this.connection = (HttpServerConnection) exchange.getConnection();
         this.mailbox = mailbox;
-        this.finished = finished;
+        this.replies = replies;
     }
 
     /** From here on the exchange answers for the flow, and tells it if the client leaves. */
-    void serve(Flows.Ticket taken) {
+    public void serve(Flows.Ticket taken) {
         ticket = taken;
         // Undertow does not read while a request is being served, and would not see its client leave.
         connection.getChannel().getSourceChannel().setReadListener(c -> readable());
@@ -75,7 +75,7 @@
             done = true;
             ticket.gone();
             IoUtils.safeClose(connection);
-            finished.run();
+            replies.finished(Replies.End.GONE, channel == null ? 0 : StatusCodes.OK, null);
         }
     }
 
@@ -87,7 +87,7 @@
             }
             source = from;
             exchange.setStatusCode(StatusCodes.OK);
-            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, replies.servedType());
             channel = exchange.getResponseChannel();
             channel.getWriteSetter().set(c -> write());
             source.into(this);
@@ -117,7 +117,7 @@
                 // Closed without a last chunk: a cut stream must not look finished.
                 done = true;
                 IoUtils.safeClose(connection);
-                finished.run();
+                replies.finished(Replies.End.BROKEN, StatusCodes.OK, null);
             }
         });
     }
@@ -151,32 +151,36 @@
 
     @Override
     public void refused(Outcome cause, long retryAfter) {
-        mailbox.tell(() -> answer(StatusCodes.SERVICE_UNAVAILABLE, retryAfter, "refused; try again later\n"));
+        mailbox.tell(() -> answer(replies.refused(cause), retryAfter, Replies.End.REFUSED, cause));
     }
 
     @Override
     public void failed(Outcome cause) {
-        mailbox.tell(() -> answer(cause == Outcome.TIMEOUT ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY, 0,
-                "failed\n"));
+        mailbox.tell(() -> answer(replies.failed(cause), 0, Replies.End.FAILED, cause));
     }
 
-    private void answer(int status, long retryAfter, String text) {
+    private void answer(Replies.Reply reply, long retryAfter, Replies.End end, Outcome cause) {
         if (done) {
             return;
         }
-        exchange.setStatusCode(status);
+        done = true;
+        write(exchange, reply, retryAfter);
+        replies.finished(end, reply.status(), cause);
+    }
+
+    /** Sends a fixed response; with a time to come back if one is given, in nanoseconds. */
+    public static void write(HttpServerExchange exchange, Replies.Reply reply, long retryAfter) {
+        exchange.setStatusCode(reply.status());
         if (retryAfter > 0) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RetryAfter.seconds(retryAfter));
         }
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
-        exchange.getResponseSender().send(text);
-        done = true;
-        finished.run();
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, reply.contentType());
+        exchange.getResponseSender().send(reply.body());
     }
 
     private void finish() {
         done = true;
         exchange.endExchange();
-        finished.run();
+        replies.finished(Replies.End.SERVED, StatusCodes.OK, null);
     }
 }
--- /dev/null
+++ b/src/main/java/fawnlb/client/Replies.java
@@ -0,0 +1,22 @@
+package fawnlb.client;
+
+import fawnlb.Balancer.Outcome;
+
+/** How a front words its answers, and what it wants to hear at the end of each. */
+public interface Replies {
+    /** A fixed response. */
+    record Reply(int status, String contentType, String body) { }
+
+    /** How an exchange ended, as the client saw it. */
+    enum End { SERVED, REFUSED, FAILED, BROKEN, GONE }
+
+    /** The content type of an answer that a target gave. */
+    String servedType();
+
+    Reply refused(Outcome cause);
+
+    Reply failed(Outcome cause);
+
+    /** Told once; status 0 if none was sent. */
+    void finished(End end, int status, Outcome cause);
+}
--- a/src/main/java/fawnlb/config/NodeConfig.java
+++ b/src/main/java/fawnlb/config/NodeConfig.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -25,6 +26,11 @@
         public Bad(String message) {
             super(message);
         }
+
+        static Bad unreadable(Path file, IOException why) {
+            return new Bad(why instanceof NoSuchFileException ? file + ": no such file"
+                    : file + ": " + String.valueOf(why.getMessage()).lines().findFirst().orElse("unreadable"));
+        }
     }
 
     /** Reads the file; the environment's addresses and name win over the file's. */
@@ -47,7 +53,7 @@
                 }
             }
         } catch (IOException e) {
-            throw new Bad(file + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse("unreadable"));
+            throw Bad.unreadable(file, e);
         }
         SettingsParser parser = new SettingsParser(pairs);
         Settings settings = parser.settings();
--- /dev/null
+++ b/src/main/java/fawnlb/dialect/Dialect.java
@@ -0,0 +1,16 @@
+package fawnlb.dialect;
+
+/** The two interfaces that clients and targets speak. */
+public enum Dialect {
+    CHAT("/v1/chat/completions"), MESSAGES("/v1/messages");
+
+    private final String path;
+
+    Dialect(String path) {
+        this.path = path;
+    }
+
+    public String path() {
+        return path;
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/dialect/ErrorBody.java
@@ -0,0 +1,46 @@
+package fawnlb.dialect;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+
+/** The body of an answer that is an error, in either dialect. */
+public final class ErrorBody {
+    private ErrorBody() { }
+
+    /** The error's type by HTTP status, in the messages dialect's words. */
+    public static String type(int status) {
+        return switch (status) {
+            case 400, 405 -> "invalid_request_error";
+            case 401 -> "authentication_error";
+            case 403 -> "permission_error";
+            case 404 -> "not_found_error";
+            case 413 -> "request_too_large";
+            case 429 -> "rate_limit_error";
+            case 503 -> "overloaded_error";
+            case 504 -> "timeout_error";
+            default -> "api_error";
+        };
+    }
+
+    public static String write(Dialect dialect, int status, String message) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = Fields.JSON.createGenerator(text)) {
+            out.writeStartObject();
+            if (dialect == Dialect.MESSAGES) {
+                out.writeStringField("type", "error");
+            }
+            out.writeObjectFieldStart("error");
+            out.writeStringField("type", type(status));
+            out.writeStringField("message", message);
+            if (dialect == Dialect.CHAT) {
+                out.writeNumberField("code", status);
+            }
+            out.writeEndObject();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/dialect/Translation.java
@@ -0,0 +1,88 @@
+package fawnlb.dialect;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Turns one answer of a target into the client's dialect as it comes; or only reads along, for its usage. */
+public final class Translation {
+    private static final int LONGEST_ANSWER = 1 << 20;
+
+    private final boolean stream;
+    private final SseParser events = new SseParser();
+    private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+    private final PieceReader reader;
+    private final PieceWriter writer;
+    private boolean done;
+    private int skipped;
+    private long input;
+    private long output;
+
+    public Translation(Dialect from, Dialect to, boolean stream) {
+        this.reader = new PieceReader(from);
+        this.writer = new PieceWriter(to);
+        this.stream = stream;
+    }
+
+    /** What the client gets for these bytes, perhaps nothing yet. */
+    public ByteBuffer feed(ByteBuffer bytes) throws IOException {
+        if (!stream) {
+            if (whole.size() + bytes.remaining() > LONGEST_ANSWER) {
+                throw new IOException("answer longer than " + LONGEST_ANSWER + " bytes");
+            }
+            byte[] part = new byte[bytes.remaining()];
+            bytes.get(part);
+            whole.writeBytes(part);
+            return ByteBuffer.allocate(0);
+        }
+        StringBuilder out = new StringBuilder();
+        for (SseParser.Event event : events.feed(bytes)) {
+            for (Piece piece : reader.read(event)) {
+                // What follows the last event is no part of the answer.
+                if (!done) {
+                    note(piece);
+                    out.append(writer.write(piece));
+                }
+            }
+        }
+        return bytes(out.toString());
+    }
+
+    /** The rest at the answer's end; an answer without its last event is an error, however its framing ended. */
+    public ByteBuffer finish() throws IOException {
+        if (stream) {
+            if (!done) {
+                throw new IOException("the answer has no last event");
+            }
+            return ByteBuffer.allocate(0);
+        }
+        List<Piece> pieces = reader.whole(whole.toByteArray());
+        pieces.forEach(this::note);
+        return bytes(writer.whole(pieces));
+    }
+
+    private void note(Piece piece) {
+        done |= piece instanceof Piece.Done;
+        skipped += piece instanceof Piece.Unknown ? 1 : 0;
+        if (piece instanceof Piece.Stop stop) {
+            input = stop.inputTokens();
+            output = stop.outputTokens();
+        }
+    }
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Unknown events met so far. */
+    public int skipped() {
+        return skipped;
+    }
+
+    /** Tokens of prompt and answer, once the target has told them. */
+    public long tokens() {
+        return input + output;
+    }
+}
--- a/src/main/java/fawnlb/platform/AskReader.java
+++ b/src/main/java/fawnlb/platform/AskReader.java
@@ -1,6 +1,7 @@
 package fawnlb.platform;
 
 import fawnlb.Balancer.Settings;
+import fawnlb.client.Keys;
 import fawnlb.flow.Ask;
 import java.util.Map;
 import java.util.function.Function;
@@ -23,7 +24,7 @@
         long patience = wait == null ? settings.classes().get(type).deadline() : 1_000_000 * whole("X-Deadline-Ms", wait);
         Map<String, String> extras = Extras.parse(header.apply("X-Extras"));
         return new Ask(type, settings.names().tenants().indexOf(word(header.apply("X-Tenant"))),
-                key(header.apply("X-Key")), key(extras.get("prefix")), patience, length(extras, "prompt_len"),
+                Keys.of(header.apply("X-Key")), Keys.of(extras.get("prefix")), patience, length(extras, "prompt_len"),
                 length(extras, "prefix_len"), length(extras, "max_out"), header.apply("X-Retry") != null, parcel);
     }
 
@@ -48,19 +49,4 @@
         String text = extras.get(name);
         return text == null ? 0 : whole(name, text);
     }
-
-    /** Up to 16 hexadecimal digits are the key itself; any other text is hashed, alike at every node. */
-    static long key(String text) {
-        if (text == null || text.isBlank()) {
-            return 0;
-        }
-        if (text.matches("[0-9a-fA-F]{1,16}")) {
-            return Long.parseUnsignedLong(text, 16);
-        }
-        long hash = 0xcbf29ce484222325L;
-        for (int i = 0; i < text.length(); i++) {
-            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        return hash;
-    }
 }
--- a/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/src/main/java/fawnlb/platform/PlatformFront.java
@@ -1,31 +1,38 @@
 package fawnlb.platform;
 
+import fawnlb.Balancer.Outcome;
 import fawnlb.Balancer.Settings;
 import fawnlb.actor.Mailbox;
+import fawnlb.client.BodyReader;
+import fawnlb.client.ClientExchange;
+import fawnlb.client.Replies;
+import fawnlb.dialect.Dialect;
+import fawnlb.dialect.Prompt;
 import fawnlb.flow.Ask;
 import fawnlb.flow.Flows;
 import fawnlb.target.Parcel;
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
-import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 
 /** The platform's protocol for clients: a thin front of the core. */
-public final class PlatformFront implements HttpHandler {
-    private static final int LARGEST_BODY = 256 * 1024;
+public final class PlatformFront implements HttpHandler, Replies {
     private static final int MAILBOX = 64;
+    private static final long NO_ROOM_RETRY = 1_000_000_000;
 
     private final Flows flows;
     private final AskReader asks;
+    private final boolean mixed;
     private volatile boolean draining;
-    private int serving;
+    private volatile int serving;
 
-    public PlatformFront(Flows flows, Settings settings) {
+    /** Mixed: some targets speak the other dialect, so that every request must be one that can be translated. */
+    public PlatformFront(Flows flows, Settings settings, boolean mixed) {
         this.flows = flows;
         this.asks = new AskReader(settings);
+        this.mixed = mixed;
     }
 
     /** From here on readiness is denied, and each connection closes with its next answer. */
@@ -48,7 +55,7 @@
                     draining ? "draining" : "ready");
             case "/v1/chat/completions" -> {
                 if (exchange.getRequestMethod().equals(Methods.POST)) {
-                    receive(exchange);
+                    BodyReader.receive(exchange, this::take, PlatformFront::text);
                 } else {
                     exchange.getResponseHeaders().put(Headers.ALLOW, "POST");
                     text(exchange, StatusCodes.METHOD_NOT_ALLOWED, "only POST is served here");
@@ -58,20 +65,6 @@
         }
     }
 
-    private void receive(HttpServerExchange exchange) {
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize(LARGEST_BODY);
-        receiver.receiveFullBytes((e, body) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> take(e, body)),
-                (e, error) -> {
-                    e.setPersistent(false);
-                    if (error instanceof Receiver.RequestToLargeException) {
-                        text(e, StatusCodes.REQUEST_ENTITY_TOO_LARGE, "the body is over 256 KiB");
-                    } else {
-                        text(e, StatusCodes.BAD_REQUEST, "the body could not be read");
-                    }
-                });
-    }
-
     private void take(HttpServerExchange exchange, byte[] body) {
         Ask ask;
         try {
@@ -79,17 +72,18 @@
             if (id == null || id.isBlank()) {
                 throw new IllegalArgumentException("X-Request-Id is missing");
             }
-            ask = asks.read(exchange.getRequestHeaders()::getFirst, new Parcel("POST", path(exchange), id, body));
-        } catch (IllegalArgumentException e) {
+            byte[] translated = mixed ? Prompt.read(Dialect.CHAT, body).write(Dialect.MESSAGES) : null;
+            ask = asks.read(exchange.getRequestHeaders()::getFirst,
+                    new Parcel(Dialect.CHAT, path(exchange), id, true, body, translated, null));
+        } catch (IllegalArgumentException | Prompt.Bad e) {
             text(exchange, StatusCodes.BAD_REQUEST, e.getMessage());
             return;
         }
         serving++;
-        ClientExchange client = new ClientExchange(exchange, new Mailbox(exchange.getIoThread(), MAILBOX),
-                () -> serving--);
+        ClientExchange client = new ClientExchange(exchange, new Mailbox(exchange.getIoThread(), MAILBOX), this);
         Flows.Ticket ticket = flows.take(ask, client);
         if (ticket == null) {
-            client.refused(null, 1_000_000_000);
+            client.refused(null, NO_ROOM_RETRY);
         } else {
             client.serve(ticket);
         }
@@ -100,9 +94,28 @@
         return exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
     }
 
+    @Override
+    public String servedType() {
+        return "text/event-stream";
+    }
+
+    @Override
+    public Reply refused(Outcome cause) {
+        return new Reply(StatusCodes.SERVICE_UNAVAILABLE, "text/plain", "refused; try again later\n");
+    }
+
+    @Override
+    public Reply failed(Outcome cause) {
+        return new Reply(cause == Outcome.TIMEOUT ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY, "text/plain",
+                "failed\n");
+    }
+
+    @Override
+    public void finished(End end, int status, Outcome cause) {
+        serving--;
+    }
+
     private static void text(HttpServerExchange exchange, int status, String text) {
-        exchange.setStatusCode(status);
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
-        exchange.getResponseSender().send(text + "\n");
+        ClientExchange.write(exchange, new Reply(status, "text/plain", text + "\n"), 0);
     }
 }
