Test every rule on real sockets, both dialects in all pairs; always chunk streams

Saw in the new tests: on a connection that is to close, Undertow sent streams without chunks, up to the connection's end, so that a cut stream could not be told from a whole one (HttpTransferEncoding chooses that for any answer on a connection that does not persist). During a drain every answer is such a one. ClientExchange.streaming now asks for chunks. Also: idle client connections are closed before a planned end, so that no request is read by a process about to go (Connections, Node.drain).

--- a/src/main/java/fawnlb/cli/Main.java
+++ b/src/main/java/fawnlb/cli/Main.java
@@ -51,7 +51,9 @@
     private static final class Serve extends Configured implements Command {
         @Override
         public void run() throws Exception {
-            new Node(read(), broker()).start();
+            Node node = new Node(read(), broker());
+            node.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         }
     }
 
--- a/src/main/java/fawnlb/cli/Node.java
+++ b/src/main/java/fawnlb/cli/Node.java
@@ -5,6 +5,7 @@
 import fawnlb.Choice;
 import fawnlb.actor.IoTimers;
 import fawnlb.actor.Mailbox;
+import fawnlb.client.Connections;
 import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
 import fawnlb.dialect.Dialect;
@@ -48,6 +49,9 @@
 
     private final NodeConfig config;
     private final BrokerConfig broker;
+    private final List<Undertow> servers = new ArrayList<>();
+    private final Connections connections = new Connections();
+    private XnioWorker worker;
     private PlatformFront front;
     private Flows flows;
 
@@ -59,7 +63,7 @@
 
     void start() throws IOException {
         Settings settings = config.settings();
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.THREAD_DAEMON, false).getMap());
         XnioIoThread thread = worker.getIoThread();
@@ -74,24 +78,38 @@
         discovery.known(config.known() == null ? new MemberList(0, true, List.of()) : config.known());
         front = new PlatformFront(flows, settings, !messageKinds().isEmpty());
         int clients = config.sockets() * 6 / 10;
-        listen(worker, config.listen(), front, broker == null ? clients : clients / 2);
+        listen(config.listen(), front, broker == null ? clients : clients / 2);
         if (broker != null) {
-            listen(worker, broker.listen(), new MessagesFront(flows, settings, broker.contracts(), timers,
+            listen(broker.listen(), new MessagesFront(flows, settings, broker.contracts(), timers,
                     flowLog(thread, timers)), clients / 2);
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
-        LOG.info(config.name() + " serves on " + config.listen()
-                + (broker == null ? "" : ", teams on " + broker.listen()));
+        LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
 
-    private static void listen(XnioWorker worker, InetSocketAddress address, HttpHandler handler, int connections) {
-        Undertow.builder().setWorker(worker).setByteBufferPool(new DefaultByteBufferPool(true, BUFFER, 256, 0))
+    /** Where the platform's front (0) or the broker's (1) listens. */
+    InetSocketAddress address(int which) {
+        return (InetSocketAddress) servers.get(which).getListenerInfo().get(0).getAddress();
+    }
+
+    /** Flows that are not over, or whose forward is still out. */
+    int open() {
+        return flows.open();
+    }
+
+    private void listen(InetSocketAddress address, HttpHandler handler, int most) {
+        Undertow server = Undertow.builder().setWorker(worker).setByteBufferPool(new DefaultByteBufferPool(true, BUFFER, 256, 0))
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 1L << 20)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, connections)
-                .setSocketOption(Options.CONNECTION_LOW_WATER, connections - 8)
-                .addHttpListener(address.getPort(), address.getHostString()).setHandler(handler).build().start();
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, most)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, most - 8)
+                .addHttpListener(address.getPort(), address.getHostString())
+                .setHandler(exchange -> {
+                    connections.serving(exchange);
+                    handler.handleRequest(exchange);
+                }).build();
+        server.start();
+        servers.add(server);
     }
 
     private FlowLog flowLog(XnioIoThread thread, IoTimers timers) throws IOException {
@@ -124,15 +142,23 @@
     }
 
     /** SIGTERM: takes what still comes for a moment, answers all that was taken, and ends. */
-    private void drain() {
+    void drain() {
         front.drain();
+        connections.drain();
         try {
             Thread.sleep(STILL_ACCEPTED_MS);
-            while (flows.open() > 0 || front.serving() > 0) {
+            servers.forEach(Undertow::stop);
+            while (connections.closeIdle() > 0 || flows.open() > 0) {
                 Thread.sleep(20);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Ends at once, whatever is being served. */
+    void stop() {
+        servers.forEach(Undertow::stop);
+        worker.shutdownNow();
+    }
 }
--- a/src/main/java/fawnlb/client/ClientExchange.java
+++ b/src/main/java/fawnlb/client/ClientExchange.java
@@ -88,6 +88,10 @@
             source = from;
             exchange.setStatusCode(StatusCodes.OK);
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, replies.servedType());
+            if (exchange.isHttp11()) {
+                // Undertow sends no chunks on a connection that is to close: a cut stream would look whole.
+                exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+            }
             channel = exchange.getResponseChannel();
             channel.getWriteSetter().set(c -> write());
             source.into(this);
--- a/src/main/java/fawnlb/client/Replies.java
+++ b/src/main/java/fawnlb/client/Replies.java
@@ -17,6 +17,6 @@
 
     Reply failed(Outcome cause);
 
-    /** Told once; status 0 if none was sent. */
-    void finished(End end, int status, Outcome cause);
+    /** Told once, for a front that keeps records; status 0 if none was sent. */
+    default void finished(End end, int status, Outcome cause) { }
 }
--- a/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/src/main/java/fawnlb/platform/PlatformFront.java
@@ -26,7 +26,6 @@
     private final AskReader asks;
     private final boolean mixed;
     private volatile boolean draining;
-    private volatile int serving;
 
     /** Mixed: some targets speak the other dialect, so that every request must be one that can be translated. */
     public PlatformFront(Flows flows, Settings settings, boolean mixed) {
@@ -35,21 +34,13 @@
         this.mixed = mixed;
     }
 
-    /** From here on readiness is denied, and each connection closes with its next answer. */
+    /** From here on readiness is denied. */
     public void drain() {
         draining = true;
     }
 
-    /** Exchanges without the last byte of their answer. */
-    public int serving() {
-        return serving;
-    }
-
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        if (draining) {
-            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        }
         switch (exchange.getRequestPath()) {
             case "/health/ready" -> text(exchange, draining ? StatusCodes.SERVICE_UNAVAILABLE : StatusCodes.OK,
                     draining ? "draining" : "ready");
@@ -79,7 +70,6 @@
             text(exchange, StatusCodes.BAD_REQUEST, e.getMessage());
             return;
         }
-        serving++;
         ClientExchange client = new ClientExchange(exchange, new Mailbox(exchange.getIoThread(), MAILBOX), this);
         Flows.Ticket ticket = flows.take(ask, client);
         if (ticket == null) {
@@ -110,11 +100,6 @@
                 "failed\n");
     }
 
-    @Override
-    public void finished(End end, int status, Outcome cause) {
-        serving--;
-    }
-
     private static void text(HttpServerExchange exchange, int status, String text) {
         ClientExchange.write(exchange, new Reply(status, "text/plain", text + "\n"), 0);
     }
--- a/src/main/java/fawnlb/syslog/SyslogSender.java
+++ b/src/main/java/fawnlb/syslog/SyslogSender.java
@@ -32,7 +32,7 @@
     private StreamConnection connection;
     private boolean connecting;
     private boolean closed;
-    private long dropped;
+    private volatile long dropped;
 
     public SyslogSender(XnioIoThread thread, Timers timers, Mailbox mailbox, InetSocketAddress collector, boolean tcp)
             throws IOException {
--- /dev/null
+++ b/src/test/java/fawnlb/cli/DialectMatrixTest.java
@@ -0,0 +1,242 @@
+package fawnlb.cli;
+
+import static fawnlb.cli.Rigged.until;
+import static fawnlb.cli.StandIn.CHUNKED;
+import static fawnlb.cli.StandIn.EMPTY;
+import static fawnlb.cli.StandIn.chunk;
+import static fawnlb.cli.StandIn.head;
+import static fawnlb.cli.StandIn.write;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import fawnlb.dialect.Dialect;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import org.junit.runner.RunWith;
+import org.junit.runners.Parameterized;
+
+/** Each client dialect with each target dialect, through every outcome, each of them counted. */
+@RunWith(Parameterized.class)
+public class DialectMatrixTest {
+    private static final String KEY = "x-api-key: k\r\n";
+    private final Dialect client;
+    private final Dialect target;
+    private final AtomicInteger out = new AtomicInteger();
+    private final List<String> log = new ArrayList<>();
+    private DatagramSocket collector;
+    private StandIn standIn;
+    private Rigged rig;
+
+    public DialectMatrixTest(Dialect client, Dialect target) {
+        this.client = client;
+        this.target = target;
+    }
+
+    @Parameterized.Parameters(name = "{0} client, {1} target")
+    public static List<Object[]> pairs() {
+        List<Object[]> pairs = new ArrayList<>();
+        for (Dialect client : Dialect.values()) {
+            for (Dialect target : Dialect.values()) {
+                pairs.add(new Object[] {client, target});
+            }
+        }
+        return pairs;
+    }
+
+    private static String text(Dialect dialect, String text) {
+        return dialect == Dialect.CHAT ? "data: {\"choices\":[{\"delta\":{\"content\":\"" + text + "\"}}]}\n\n"
+                : "event: content_block_delta\ndata: {\"delta\":{\"type\":\"text_delta\",\"text\":\"" + text + "\"}}\n\n";
+    }
+
+    private static String begin(Dialect dialect) {
+        return dialect == Dialect.CHAT ? "" : "event: message_start\ndata: {\"message\":{\"id\":\"m\",\"model\":\"m\","
+                + "\"usage\":{\"input_tokens\":4}}}\n\n";
+    }
+
+    private static String end(Dialect dialect) {
+        return dialect == Dialect.CHAT ? "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"
+                + "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":4,\"completion_tokens\":3}}\n\ndata: [DONE]\n\n"
+                : "event: message_delta\ndata: {\"delta\":{\"stop_reason\":\"end_turn\"},\"usage\":{\"output_tokens\":3}}\n\n"
+                + "event: message_stop\ndata: {\"type\":\"message_stop\"}\n\n";
+    }
+
+    private static String last(Dialect dialect) {
+        return dialect == Dialect.CHAT ? "data: [DONE]" : "event: message_stop";
+    }
+
+    private void answer(StandIn.Request request, Socket socket) throws Exception {
+        out.incrementAndGet();
+        try {
+            String first = head(200, CHUNKED) + chunk(begin(target) + text(target, "Hel"));
+            switch (request.id().replaceAll("-.*", "")) {
+                case "served" -> write(socket, first + chunk(text(target, "lo") + end(target)) + "0\r\n\r\n");
+                case "mixed" -> write(socket, head(200, CHUNKED) + chunk("event: sparkle\ndata: {}\n\n" + begin(target)
+                        + text(target, "Hel")) + chunk("event: glitter\ndata: a\ndata: b\n\n" + text(target, "lo") + end(target))
+                        + "0\r\n\r\n");
+                case "whole" -> {
+                    String body = target == Dialect.CHAT ? "{\"choices\":[{\"message\":{\"content\":\"Hello\"}}]}"
+                            : "{\"type\":\"message\",\"content\":[{\"type\":\"text\",\"text\":\"Hello\"}]}";
+                    write(socket, head(200, "Content-Length: " + body.length() + "\r\n") + body);
+                }
+                case "refused" -> write(socket, head(503, EMPTY, "X-Not-Run: 1\r\n"));
+                case "failed" -> write(socket, head(500, EMPTY));
+                case "broken" -> {
+                    write(socket, first);
+                    socket.close();
+                }
+                case "cut" -> write(socket, first + "0\r\n\r\n");
+                case "gone" -> {
+                    write(socket, first);
+                    socket.getInputStream().read();
+                }
+                default -> socket.getInputStream().read();
+            }
+        } finally {
+            out.decrementAndGet();
+        }
+    }
+
+    @Before
+    public void start() throws Exception {
+        collector = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        collector.setSoTimeout(10_000);
+        standIn = new StandIn(this::answer);
+        String broker = "{\"listen\":\"127.0.0.1:0\",\"message-kinds\":[\"m\"],\"syslog\":{\"collector\":\"127.0.0.1:"
+                + collector.getLocalPort() + "\"},\"teams\":[{\"name\":\"t\",\"key\":\"k\",\"classes\":[\"chat\",\"strict\"],"
+                + "\"models\":[\"m\"],\"deadline-ms\":3000,\"budget\":{\"requests\":12,\"tokens\":1000,\"window-ms\":60000}}]}";
+        rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
+                Rigged.member(1, standIn.address(), target == Dialect.CHAT ? "c" : "m", "ready")), broker);
+    }
+
+    @After
+    public void stop() throws Exception {
+        rig.close();
+        standIn.close();
+        collector.close();
+    }
+
+    private String request(String id, String... headers) {
+        boolean stream = !id.startsWith("whole");
+        return Rigged.post(client.path(), "{\"model\":\"m\",\"max_tokens\":9,\"stream\":" + stream
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}", KEY + "X-Request-Id: " + id + "\r\nX-Class: strict\r\n"
+                + "Connection: close\r\n" + String.join("", headers));
+    }
+
+    private String ask(String id, String... headers) throws Exception {
+        return rig.ask(1, request(id, headers));
+    }
+
+    /** The body without its chunk sizes. */
+    private static String body(String answer) {
+        return answer.substring(answer.indexOf("\r\n\r\n") + 2).replaceAll("\r\n[0-9a-f]+\r\n", "");
+    }
+
+    private static String events(String answer) {
+        return body(answer).replaceAll("\r\n", "");
+    }
+
+    private Map<String, Integer> ends(int records) throws Exception {
+        Map<String, Integer> ends = new ConcurrentHashMap<>();
+        for (int i = 0; i < records; i++) {
+            DatagramPacket packet = new DatagramPacket(new byte[3000], 3000);
+            collector.receive(packet);
+            String record = new String(packet.getData(), 0, packet.getLength(), StandardCharsets.UTF_8);
+            log.add(record);
+            ends.merge(record.replaceAll("(?s).* end=\"([a-z]+)\".*", "$1"), 1, Integer::sum);
+        }
+        return ends;
+    }
+
+    @Test
+    public void everyOutcomeIsMappedAndCounted() throws Exception {
+        String served = ask("served-1");
+        assertTrue(served, served.startsWith("HTTP/1.1 200") && served.endsWith("0\r\n\r\n"));
+        assertTrue(served, served.contains("Hel") && served.contains(last(client)));
+
+        String mixed = ask("mixed-1");
+        assertTrue(mixed, mixed.contains(last(client)));
+        assertEquals("unknown events pass only between speakers of one dialect", client == target, mixed.contains("sparkle"));
+        if (client != target) {
+            assertEquals(events(served), events(mixed));
+        } else {
+            assertTrue(served, events(served).contains(text(target, "Hel") + text(target, "lo") + end(target)));
+        }
+
+        String whole = ask("whole-1");
+        assertTrue(whole, whole.contains("application/json") && whole.contains("Hello"));
+        assertEquals(whole, client == Dialect.CHAT, whole.contains("\"choices\""));
+
+        Object[][] fixed = {{"refused-1", "503", "overloaded_error", true}, {"failed-1", "502", "api_error", false},
+            {"silent-1", "504", "timeout_error", false}};
+        for (Object[] row : fixed) {
+            String answer = ask((String) row[0], "X-Deadline-Ms: 500\r\n");
+            assertTrue(answer, answer.startsWith("HTTP/1.1 " + row[1]) && answer.contains("\"" + row[2] + "\""));
+            assertEquals(answer, row[3], answer.contains("Retry-After: "));
+            assertEquals(answer, client == Dialect.MESSAGES, answer.contains("{\"type\":\"error\""));
+        }
+
+        String broken = ask("broken-1");
+        assertTrue(broken, broken.contains("Hel"));
+        assertFalse(broken, broken.contains("\r\n0\r\n") || broken.contains(last(client)));
+        String cut = ask("cut-1");
+        // Between speakers of one dialect the framing decides; a translated stream needs its last event.
+        assertEquals(cut, client == target, cut.contains("\r\n0\r\n"));
+        assertFalse(cut, cut.contains(last(client)));
+
+        try (Socket socket = rig.connect(1)) {
+            write(socket, request("gone-1"));
+            String line = "";
+            while (!line.contains("Hel")) {
+                line = StandIn.line(socket.getInputStream());
+            }
+        }
+        until("no forward is left out", () -> out.get() == 0 && rig.node.open() == 0);
+
+        int cutServed = client == target ? 1 : 0;
+        assertEquals(Map.of("served", 3 + cutServed, "refused", 1, "failed", 2, "broken", 2 - cutServed, "gone", 1), ends(9));
+        assertEquals(9, standIn.requests.size());
+        assertTrue(log.get(0), log.get(0).startsWith("<134>1 ") && log.get(0).contains(" [flow@32473 id=\"served-1\" team=\"t\"")
+                && log.get(0).contains("tokens=\"7\""));
+        assertTrue(log.get(1), log.get(1).contains("skipped=\"2\""));
+    }
+
+    @Test
+    public void outsideContractOrOverBudgetIsAnsweredBeforeAnyForward() throws Exception {
+        String body = request("x");
+        String[][] cases = {
+            {body.replace(KEY, ""), "401", "authentication_error"}, {body.replace(KEY, "x-api-key: wrong\r\n"), "401", "no team"},
+            {body.replace("\"m\",", "\"n\","), "403", "permission_error"}, {body.replace("strict", "other"), "403", "class"},
+            {body.replace("hi", "\\x"), "400", "JSON"}, {body.replace("s\":9", "s\":9999"), "400", "budget"},
+            {body.replace("POST " + client.path(), "POST /v1/other"), "404", "not_found_error"},
+            {body.replace("POST", "PUT"), "405", "POST"},
+            {Rigged.post(client.path(), "x".repeat(300_000), KEY + "Connection: close\r\n"), "413", "request_too_large"},
+        };
+        for (String[] row : cases) {
+            String length = row[0].contains("PUT") ? row[0] : row[0].replaceFirst("Content-Length: \\d+",
+                    "Content-Length: " + row[0].substring(row[0].indexOf("\r\n\r\n") + 4).length());
+            String answer = rig.ask(1, length);
+            assertTrue(row[0] + answer, answer.startsWith("HTTP/1.1 " + row[1]) && answer.contains(row[2]));
+        }
+        assertEquals(0, standIn.requests.size());
+        for (int i = 0; i < 12; i++) {
+            ask("served-" + i);
+        }
+        String over = ask("served-over");
+        assertTrue(over, over.startsWith("HTTP/1.1 429") && over.contains("rate_limit_error"));
+        assertTrue(over, over.matches("(?s).*Retry-After: [1-5]?[0-9](\\.[0-9]+)?\r\n.*"));
+        assertEquals(12, standIn.requests.size());
+        assertEquals(Map.of("rejected", 10, "served", 12), ends(22));
+    }
+}
--- /dev/null
+++ b/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -0,0 +1,297 @@
+package fawnlb.cli;
+
+import static fawnlb.cli.Rigged.chat;
+import static fawnlb.cli.Rigged.until;
+import static fawnlb.cli.StandIn.CHUNKED;
+import static fawnlb.cli.StandIn.EMPTY;
+import static fawnlb.cli.StandIn.chunk;
+import static fawnlb.cli.StandIn.head;
+import static fawnlb.cli.StandIn.write;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.Test;
+
+/** One short test on real sockets for each rule. */
+public class NodeRulesTest {
+    private static final String EVENT = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+    private static final String DONE = "data: [DONE]\n\n";
+
+    private static StandIn serving() throws IOException {
+        return new StandIn((request, socket) ->
+                write(socket, head(200, CHUNKED) + chunk(EVENT) + chunk(": odd\n\n" + DONE) + "0\r\n\r\n"));
+    }
+
+    @Test
+    public void requestAndEventsPassUnchanged() throws Exception {
+        try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
+            String answer = rig.ask(0, chat("id-1", 3000));
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n"));
+            assertTrue(answer, answer.replaceAll("\r\n[0-9a-f]+\r\n", "").contains(EVENT + ": odd\n\n" + DONE));
+            StandIn.Request seen = target.requests.get(0);
+            assertEquals("POST /v1/chat/completions?q=1 HTTP/1.1", seen.line());
+            assertEquals("{\"a\":1}", seen.body());
+            assertEquals("id-1", seen.id());
+            assertTrue(Integer.parseInt(seen.headers().get("x-deadline-ms")) > 2000);
+            until("nothing open", () -> rig.node.open() == 0);
+        }
+    }
+
+    @Test
+    public void eventsPassAsTheyCome() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + chunk(EVENT));
+            seen.await(10, TimeUnit.SECONDS);
+            write(socket, chunk(DONE) + "0\r\n\r\n");
+        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+            write(client, chat("id", 3000));
+            InputStream in = client.getInputStream();
+            while (!StandIn.line(in).startsWith("data: {")) {
+                assertEquals(1, seen.getCount());
+            }
+            seen.countDown();
+            assertTrue(new String(in.readAllBytes()).endsWith("0\r\n\r\n"));
+        }
+    }
+
+    @Test
+    public void connectionsToTargetsAreUsedAgain() throws Exception {
+        try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
+            for (int i = 0; i < 5; i++) {
+                rig.ask(0, chat("id-" + i, 3000));
+                until("nothing open", () -> rig.node.open() == 0);
+            }
+            assertEquals(5, target.requests.size());
+            assertEquals(1, target.connections.get());
+        }
+    }
+
+    @Test
+    public void aBrokenStreamEndsWithoutALastChunk() throws Exception {
+        try (StandIn target = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + chunk(EVENT));
+            socket.close();
+        }); Rigged rig = Rigged.with(target)) {
+            String answer = rig.ask(0, chat("id", 3000));
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200") && !answer.contains("\r\n0\r\n"));
+            assertEquals(1, target.requests.size());
+        }
+    }
+
+    /** A target cut off from us keeps its connection open and says nothing. */
+    @Test
+    public void aStreamThatFallsSilentIsEndedWithinFiveSeconds() throws Exception {
+        try (StandIn target = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + chunk(EVENT));
+            socket.getInputStream().read();
+        }); Rigged rig = Rigged.with(target)) {
+            long start = System.nanoTime();
+            String answer = rig.ask(0, chat("id", 1000));
+            assertTrue(answer.startsWith("HTTP/1.1 200") && !answer.contains("\r\n0\r\n"));
+            assertTrue(System.nanoTime() - start < 5_000_000_000L);
+        }
+    }
+
+    @Test
+    public void aSilentTargetIsAnsweredForBeforeTheDeadlineWithATimeToComeBack() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> {
+            if (socket.getInputStream().read() < 0) {
+                closed.countDown();
+            }
+        }); Rigged rig = Rigged.with(target)) {
+            long start = System.nanoTime();
+            String answer = rig.ask(0, chat("id", 400));
+            assertTrue(System.nanoTime() - start < 450_000_000L);
+            assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: 2\r\n"));
+            assertTrue("the forward is called off", closed.await(5, TimeUnit.SECONDS));
+            assertEquals(1, target.requests.size());
+        }
+    }
+
+    @Test
+    public void whatIsGivenUpIsAnsweredAtOnce() throws Exception {
+        try (StandIn target = new StandIn((request, socket) ->
+                write(socket, head(503, EMPTY, "X-Not-Run: 1\r\n"))); Rigged rig = Rigged.with(target)) {
+            long start = System.nanoTime();
+            String answer = rig.ask(0, chat("id", 4000));
+            assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: "));
+            assertTrue(System.nanoTime() - start < 2_000_000_000L);
+        }
+    }
+
+    @Test
+    public void oneForwardAtATimeAndSixInAll() throws Exception {
+        AtomicInteger out = new AtomicInteger();
+        AtomicInteger most = new AtomicInteger();
+        StandIn[] targets = new StandIn[8];
+        for (int i = 0; i < targets.length; i++) {
+            targets[i] = new StandIn((request, socket) -> {
+                most.accumulateAndGet(out.incrementAndGet(), Math::max);
+                out.decrementAndGet();
+                write(socket, head(500, EMPTY));
+            });
+        }
+        try (Rigged rig = Rigged.with(targets)) {
+            String answer = rig.ask(0, chat("id", 3000));
+            assertTrue(answer, answer.startsWith("HTTP/1.1 503"));
+            int tries = 0;
+            for (StandIn target : targets) {
+                tries += target.requests.size();
+                target.close();
+            }
+            assertTrue("tries " + tries, tries > 1 && tries <= 6);
+            assertEquals(1, most.get());
+        }
+    }
+
+    @Test
+    public void aTargetThatRefusesConnectionsCostsNoAnswer() throws Exception {
+        int port;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = socket.getLocalPort();
+        }
+        try (StandIn target = serving(); Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
+                Rigged.member(1, "127.0.0.1:" + port, "c", "ready") + "," + Rigged.member(2, target.address(), "c", "ready")), null)) {
+            for (int i = 0; i < 6; i++) {
+                assertTrue(rig.ask(0, chat("id-" + i, 3000, "X-Key: " + i + "\r\n")).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Test
+    public void aClientThatLeavesCallsTheForwardOff() throws Exception {
+        for (boolean streaming : new boolean[] {false, true}) {
+            CountDownLatch asked = new CountDownLatch(1);
+            CountDownLatch closed = new CountDownLatch(1);
+            try (StandIn target = new StandIn((request, socket) -> {
+                if (streaming) {
+                    write(socket, head(200, CHUNKED) + chunk(EVENT));
+                }
+                asked.countDown();
+                if (socket.getInputStream().read() < 0) {
+                    closed.countDown();
+                }
+            }); Rigged rig = Rigged.with(target)) {
+                try (Socket client = rig.connect(0)) {
+                    write(client, chat("id", 4000));
+                    assertTrue(asked.await(5, TimeUnit.SECONDS));
+                    if (streaming) {
+                        client.getInputStream().read();
+                    }
+                }
+                assertTrue("streaming " + streaming, closed.await(2, TimeUnit.SECONDS));
+                until("nothing open", () -> rig.node.open() == 0);
+                assertEquals(1, target.requests.size());
+            }
+        }
+    }
+
+    @Test
+    public void nothingNewGoesToADrainingTarget() throws Exception {
+        try (StandIn draining = serving(); StandIn ready = serving();
+             StandIn discovery = new StandIn((request, socket) -> {
+                 write(socket, head(200, CHUNKED) + chunk("{\"revision\":2,\"complete\":false,\"members\":["
+                         + Rigged.member(1, draining.address(), "c", "draining") + ","
+                         + Rigged.member(2, ready.address(), "c", "ready") + "]}\n"));
+                 socket.getInputStream().read();
+             });
+             Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(),
+                     Rigged.member(1, draining.address(), "c", "ready")), null)) {
+            until("the change is told", () -> {
+                try {
+                    rig.ask(0, chat("id", 3000));
+                } catch (IOException e) {
+                    return false;
+                }
+                return !ready.requests.isEmpty();
+            });
+            int before = draining.requests.size();
+            for (int i = 0; i < 10; i++) {
+                rig.ask(0, chat("id-" + i, 3000, "X-Key: " + i + "\r\n"));
+            }
+            assertEquals(before, draining.requests.size());
+            assertTrue(discovery.requests.get(0).line().contains("watch=1&from=1"));
+        }
+    }
+
+    /** Discovery that vanished says nothing: what it would have told counts as told six seconds later. */
+    @Test
+    public void aWatchThatFallsSilentOrEndsIsOpenedAgainFromTheLastRevision() throws Exception {
+        AtomicBoolean silent = new AtomicBoolean();
+        try (StandIn discovery = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + chunk("{\"revision\":7,\"complete\":true,\"members\":[]}\n"));
+            if (silent.getAndSet(true)) {
+                socket.getInputStream().read();
+            } else {
+                socket.close();
+            }
+        }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(), ""), null)) {
+            until("opened again after its end", () -> discovery.requests.size() >= 2);
+            long start = System.nanoTime();
+            until("opened again after silence", () -> discovery.requests.size() >= 3);
+            assertTrue(System.nanoTime() - start < 5_500_000_000L);
+            assertEquals(0, rig.node.open());
+            assertTrue(discovery.requests.get(2).line(), discovery.requests.get(2).line().contains("from=7"));
+        }
+    }
+
+    @Test
+    public void malformedRequestsGetAClearAnswer() throws Exception {
+        try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
+            String id = "X-Request-Id: i\r\nConnection: close\r\n";
+            String[][] cases = {
+                {Rigged.post("/v1/chat/completions", "{}", "X-Class: chat\r\nConnection: close\r\n"), "400", "X-Request-Id"},
+                {Rigged.post("/v1/chat/completions", "{}", id), "400", "X-Class"},
+                {Rigged.post("/v1/chat/completions", "{}", id, "X-Class: chat\r\nX-Deadline-Ms: x\r\n"), "400", "X-Deadline-Ms"},
+                {Rigged.post("/v1/chat/completions", "x".repeat(300_000), id, "X-Class: chat\r\n"), "413", "256 KiB"},
+                {Rigged.post("/v2", "", id), "404", ""},
+                {"GET /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "405", "POST"},
+                {"GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "200", "ready"},
+            };
+            for (String[] row : cases) {
+                String answer = rig.ask(0, row[0]);
+                assertTrue(answer, answer.startsWith("HTTP/1.1 " + row[1]) && answer.contains(row[2]));
+            }
+            assertEquals(0, target.requests.size());
+        }
+    }
+
+    /** A reader that stands still must stop the reading from the target, not fill memory. */
+    @Test
+    public void aSlowReaderHoldsItsTargetBack() throws Exception {
+        AtomicInteger sent = new AtomicInteger();
+        String big = chunk("data: " + "x".repeat(65_000) + "\n\n");
+        try (StandIn target = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED));
+            for (; sent.get() < 1000; sent.incrementAndGet()) {
+                write(socket, big);
+            }
+            write(socket, "0\r\n\r\n");
+        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+            write(client, chat("id", 3000));
+            until("begun", () -> sent.get() > 0);
+            int[] last = {-1, 0};
+            until("held back", () -> {
+                last[1] = sent.get() == last[0] ? last[1] + 1 : 0;
+                last[0] = sent.get();
+                return last[1] > 2_000_000;
+            });
+            assertTrue("sent " + sent.get(), sent.get() < 1000);
+            long got = client.getInputStream().transferTo(java.io.OutputStream.nullOutputStream());
+            assertTrue("got " + got, got > 65_000_000);
+            assertFalse(rig.node.open() > 1);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/fawnlb/discovery/MemberListTest.java
@@ -0,0 +1,55 @@
+package fawnlb.discovery;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertThrows;
+
+import fawnlb.Balancer.Phase;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.Test;
+
+public class MemberListTest {
+    private static final String ENTRY = "{\"id\":\"s-5be2a07c\",\"host_port\":\"127.0.0.1:9\",\"locality\":\"a\",\"flavor\":\"m2\","
+            + "\"cell\":3,\"phase\":\"%s\",\"size\":1.5,\"up_since_ms\":7,\"new\":{\"x\":[1]}}";
+
+    private static String list(String... members) {
+        return "{\"revision\":4,\"later\":[{}],\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
+    }
+
+    @Test
+    public void listsAreReadAndUnknownFieldsSkipped() throws IOException {
+        Object[][] cases = {{"ready", Phase.READY}, {"draining", Phase.DRAINING}, {"gone", Phase.GONE}, {"odd", Phase.DRAINING}};
+        for (Object[] row : cases) {
+            MemberList read = MemberList.parse(list(ENTRY.formatted(row[0])));
+            assertEquals(new MemberList(4, true, List.of(new Member("s-5be2a07c", "127.0.0.1", 9, "a", "m2", 3,
+                    (Phase) row[1], 1.5, 7))), read);
+            assertEquals(0x5be2a07cL, read.members().get(0).number());
+        }
+    }
+
+    @Test
+    public void badListsAreErrors() {
+        for (String bad : new String[] {"", "[]", "{}", list("{}"), list("{\"id\":\"x\",\"host_port\":\"h\"}"),
+            list("{\"id\":\"x\",\"host_port\":\"h:x\"}"), list(ENTRY.formatted("ready")) + " {}", "{\"revision\":1",
+            "{\"revision\":\"x\"}", "{\"revision\":1,\"members\":3}"}) {
+            assertThrows(bad, IOException.class, () -> MemberList.parse(bad));
+        }
+    }
+
+    @Test
+    public void linesAreCutAnywhere() throws IOException {
+        byte[] in = "ab\n\ncde\nf".getBytes();
+        for (int piece = 1; piece < 10; piece++) {
+            LineSplitter lines = new LineSplitter(3);
+            List<String> out = new ArrayList<>();
+            for (int at = 0; at < in.length; at += piece) {
+                out.addAll(lines.feed(ByteBuffer.wrap(in, at, Math.min(piece, in.length - at))));
+            }
+            assertEquals(List.of("ab", "", "cde"), out);
+            assertEquals("f", lines.rest());
+        }
+        assertThrows(IOException.class, () -> new LineSplitter(3).feed(ByteBuffer.wrap("abcd".getBytes())));
+    }
+}
--- /dev/null
+++ b/src/test/java/fawnlb/http/ResponseParserTest.java
@@ -0,0 +1,72 @@
+package fawnlb.http;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.junit.Test;
+
+public class ResponseParserTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    /** Input; status; body; whole before the end of the connection; connection usable again. */
+    private static final Object[][] GOOD = {
+        {OK + "Content-Length: 3\r\n\r\nabc", 200, "abc", true, true},
+        {OK + "content-length: 0\r\n\r\n", 200, "", true, true},
+        {OK + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n", 200, "abcde", true, true},
+        {OK + "Transfer-Encoding: Chunked\r\n\r\n0\r\nTrailer: x\r\n\r\n", 200, "", true, true},
+        {"HTTP/1.1 100 Continue\r\n\r\n" + OK + "Content-Length: 1\r\n\r\na", 200, "a", true, true},
+        {"HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", 503, "x", true, false},
+        {"HTTP/1.0 200 OK\nContent-Length: 1\n\nx", 200, "x", true, false},
+        {"HTTP/1.1 204\r\n\r\n", 204, "", true, true},
+        {OK + "\r\nall of it", 200, "all of it", false, false},
+    };
+    private static final String[] BAD = {
+        "SPDY/1 200 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", OK + "no colon\r\n\r\n", OK + "Content-Length: -1\r\n\r\n",
+        OK + "Content-Length: x\r\n\r\n", OK + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        OK + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", OK + "Content-Length: 1\r\n\r\nab",
+        "HTTP/1.1 200 " + "x".repeat(9000)};
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    @Test
+    public void goodResponsesReadAlikeHoweverTheyAreCut() throws IOException {
+        for (Object[] row : GOOD) {
+            for (int piece : new int[] {1, 2, 7, 1000}) {
+                ResponseParser parser = new ResponseParser();
+                String in = (String) row[0];
+                ByteBuffer body = ByteBuffer.allocate(100);
+                for (int at = 0; at < in.length(); at += piece) {
+                    parser.feed(bytes(in.substring(at, Math.min(in.length(), at + piece))), body);
+                }
+                assertEquals(in, row[1], parser.head().status());
+                assertEquals(in, row[2], new String(body.array(), 0, body.position(), StandardCharsets.ISO_8859_1));
+                assertEquals(in, row[3], parser.done());
+                assertEquals(in, row[4], parser.head().keepAlive());
+                assertTrue(in, parser.eof());
+            }
+        }
+    }
+
+    @Test
+    public void badResponsesAreErrors() {
+        for (String in : BAD) {
+            assertThrows(in, IOException.class, () -> new ResponseParser().feed(bytes(in), ByteBuffer.allocate(100)));
+        }
+    }
+
+    @Test
+    public void aCutResponseIsNotWhole() throws IOException {
+        for (String in : new String[] {"", "HTTP/1.1 2", OK, OK + "Content-Length: 3\r\n\r\nab",
+            OK + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", OK + "Transfer-Encoding: chunked\r\n\r\n0\r\n"}) {
+            ResponseParser parser = new ResponseParser();
+            parser.feed(bytes(in), ByteBuffer.allocate(100));
+            assertFalse(in, parser.eof());
+        }
+    }
+}
