Commit the target package, which the ignore file hid

Saw a fresh clone without src/main/java/fawnlb/target: the inherited ignore line 'target/' matches a folder of that name anywhere.

--- /dev/null
+++ b/src/main/java/fawnlb/target/Parcel.java
@@ -0,0 +1,53 @@
+package fawnlb.target;
+
+import fawnlb.dialect.Dialect;
+import fawnlb.flow.Ask;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A request as it goes to a target: path with query, id and body as the client sent them. {@code translated}:
+ * the body in the other dialect, null where no target speaks it. {@code tally}: null if nobody wants one.
+ */
+public record Parcel(Dialect dialect, String path, String id, boolean stream, byte[] body, byte[] translated,
+                     Tally tally) implements Ask.Parcel {
+
+    /** What a target's answer told of itself; belongs to the I/O thread. */
+    public static final class Tally {
+        private Dialect spoken;
+        private int skipped;
+        private long tokens;
+
+        void note(Dialect dialect, int unknown, long used) {
+            spoken = dialect;
+            skipped = unknown;
+            tokens = used;
+        }
+
+        /** The dialect of the target that answered, null if none did. */
+        public Dialect spoken() {
+            return spoken;
+        }
+
+        /** Unknown events that were skipped, or passed on unread between speakers of one dialect. */
+        public int skipped() {
+            return skipped;
+        }
+
+        public long tokens() {
+            return tokens;
+        }
+    }
+
+    boolean speaks(Dialect other) {
+        return dialect == other || translated != null;
+    }
+
+    ByteBuffer request(Dialect to, String host, long patience) {
+        byte[] content = to == dialect ? body : translated;
+        byte[] head = ("POST " + (to == dialect ? path : to.path()) + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id
+                + "\r\nX-Deadline-Ms: " + patience / 1_000_000 + "\r\nContent-Type: application/json\r\nContent-Length: "
+                + content.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        return ByteBuffer.allocate(head.length + content.length).put(head).put(content).flip();
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/target/Target.java
@@ -0,0 +1,406 @@
+package fawnlb.target;
+
+import fawnlb.Balancer.Outcome;
+import fawnlb.actor.Mailbox;
+import fawnlb.actor.Timers;
+import fawnlb.dialect.Dialect;
+import fawnlb.dialect.Translation;
+import fawnlb.flow.Source;
+import fawnlb.flow.Targets;
+import fawnlb.http.Connection;
+import fawnlb.http.Response;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import org.xnio.XnioIoThread;
+
+/** One target's actor: its connections and the forwards on them. */
+final class Target {
+    /** An idle connection is retired at this part of the time after which the target itself may close it: a
+     *  request written to one that is just being closed would count as a reset. */
+    private static final double RETIRE = 0.85;
+
+    private final InetSocketAddress address;
+    private final Dialect dialect;
+    private final XnioIoThread thread;
+    private final Timers timers;
+    private final Mailbox mailbox;
+    private final TargetPool.Limits limits;
+    private final TargetPool pool;
+    private final Deque<Idle> idle = new ArrayDeque<>();
+    private boolean left;
+
+    private record Idle(Connection connection, long since) { }
+
+    Target(InetSocketAddress address, Dialect dialect, XnioIoThread thread, Timers timers, Mailbox mailbox,
+           TargetPool.Limits limits, TargetPool pool) {
+        this.address = address;
+        this.dialect = dialect;
+        this.thread = thread;
+        this.timers = timers;
+        this.mailbox = mailbox;
+        this.limits = limits;
+        this.pool = pool;
+    }
+
+    boolean is(InetSocketAddress other, Dialect speaks) {
+        return address.equals(other) && dialect == speaks;
+    }
+
+    Dialect dialect() {
+        return dialect;
+    }
+
+    /** Gone from the list or moved: idle connections close, forwards that are out run on. */
+    void leave() {
+        mailbox.tell(() -> {
+            left = true;
+            while (!idle.isEmpty()) {
+                close(idle.poll().connection());
+            }
+        });
+    }
+
+    Targets.Forward forward(Parcel parcel, long patience, Targets.Report report) {
+        Running running = new Running(parcel, patience, report);
+        if (!mailbox.tell(running::begin)) {
+            report.ended(Outcome.NEVER_SENT, 0, List.of());
+        }
+        return outcome -> mailbox.tell(() -> running.stop(outcome));
+    }
+
+    void probe(Targets.ProbeReport report) {
+        ByteBuffer request = ByteBuffer.wrap(("GET /stats HTTP/1.1\r\nHost: " + host() + "\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+        Probe probe = new Probe(request, report);
+        if (!mailbox.tell(probe::begin)) {
+            report.probed(Outcome.NEVER_SENT, List.of());
+        }
+    }
+
+    private String host() {
+        return address.getHostString() + ':' + address.getPort();
+    }
+
+    private void close(Connection connection) {
+        connection.close();
+        pool.socketClosed();
+    }
+
+    private Connection idleConnection() {
+        retire();
+        while (!idle.isEmpty()) {
+            Connection connection = idle.pollLast().connection();
+            if (connection.isOpen()) {
+                return connection;
+            }
+            pool.socketClosed();
+        }
+        return null;
+    }
+
+    private void keep(Connection connection) {
+        if (left) {
+            close(connection);
+            return;
+        }
+        idle.addLast(new Idle(connection, timers.now()));
+        timers.after((long) (limits.idle() * RETIRE), () -> mailbox.tell(this::retire));
+    }
+
+    private void retire() {
+        while (!idle.isEmpty() && (!idle.peek().connection().isOpen()
+                || timers.now() - idle.peek().since() >= (long) (limits.idle() * RETIRE))) {
+            close(idle.poll().connection());
+        }
+    }
+
+    /** One exchange with the target, from finding a connection to its end. */
+    private abstract class Exchange implements Connection.Call {
+        final ByteBuffer request;
+        Connection connection;
+        private Connection.Connecting connecting;
+        boolean done;
+
+        Exchange(ByteBuffer request) {
+            this.request = request;
+        }
+
+        void begin() {
+            if (done) {
+                return;
+            }
+            connection = idleConnection();
+            if (connection != null) {
+                connection.send(request, this);
+            } else if (pool.socketFree()) {
+                pool.socketOpened();
+                connecting = Connection.open(thread, timers, address, limits.connect(), this::opened);
+            } else {
+                finish(Outcome.CONNECT_FAILED);
+            }
+        }
+
+        private void opened(Connection opened) {
+            if (opened == null) {
+                pool.socketClosed();
+                finish(Outcome.CONNECT_FAILED);
+            } else if (done) {
+                keep(opened);
+            } else {
+                connection = opened;
+                opened.send(request, this);
+            }
+        }
+
+        @Override
+        public void end(boolean reusable) {
+            Connection used = connection;
+            connection = null;
+            if (reusable) {
+                keep(used);
+            } else {
+                close(used);
+            }
+            whole();
+        }
+
+        @Override
+        public void broken(boolean written) {
+            close(connection);
+            connection = null;
+            finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+        }
+
+        /** Ends it from our side; closing the connection is what calls the target's work off. */
+        void stop(Outcome outcome) {
+            if (!done && connection != null) {
+                close(connection);
+                connection = null;
+            }
+            finish(outcome);
+        }
+
+        void finish(Outcome outcome) {
+            if (!done) {
+                done = true;
+                ended(outcome);
+            }
+        }
+
+        abstract void whole();
+
+        abstract void ended(Outcome outcome);
+    }
+
+    private final class Running extends Exchange implements Source {
+        private final Targets.Report report;
+        private final Parcel parcel;
+        private Translation translation;
+        private Translation witness;
+        private Response head;
+        private boolean streaming;
+        private boolean complete;
+        private Sink sink;
+        private ByteBuffer first;
+        private Timers.Timer watchdog;
+
+        Running(Parcel parcel, long patience, Targets.Report report) {
+            super(parcel.request(dialect, host(), patience));
+            this.parcel = parcel;
+            this.report = report;
+        }
+
+        @Override
+        public void head(Response response) {
+            head = response;
+            streaming = response.status() == 200;
+            if (streaming) {
+                translation = dialect == parcel.dialect() ? null
+                        : new Translation(dialect, parcel.dialect(), parcel.stream());
+                witness = translation != null || parcel.tally() == null ? null
+                        : new Translation(dialect, dialect, parcel.stream());
+                watch();
+                report.started(this);
+            }
+        }
+
+        @Override
+        public void body(ByteBuffer bytes) {
+            if (!streaming) {
+                connection.more();
+                return;
+            }
+            try {
+                observe(bytes.duplicate());
+                deliver(translation == null ? bytes : translation.feed(bytes));
+            } catch (IOException e) {
+                stop(Outcome.RESET);
+            }
+        }
+
+        private void deliver(ByteBuffer bytes) {
+            if (!bytes.hasRemaining()) {
+                watch();
+                connection.more();
+            } else if (sink == null) {
+                first = bytes;
+                unwatch();
+            } else {
+                unwatch();
+                sink.chunk(bytes);
+            }
+        }
+
+        /** Reads along where nothing is translated; what it can't read is no fault of the stream's. */
+        private void observe(ByteBuffer bytes) {
+            try {
+                if (witness != null) {
+                    witness.feed(bytes);
+                }
+            } catch (IOException e) {
+                witness = null;
+            }
+        }
+
+        @Override
+        public void into(Sink to) {
+            mailbox.tell(() -> {
+                sink = to;
+                if (first != null) {
+                    sink.chunk(first);
+                    first = null;
+                }
+                if (done) {
+                    tellEnd();
+                }
+            });
+        }
+
+        @Override
+        public void more() {
+            mailbox.tell(() -> {
+                if (connection != null) {
+                    watch();
+                    connection.more();
+                }
+            });
+        }
+
+        /**
+         * A target that vanished or was cut off says nothing: its stream stays open and silent, and the
+         * client would wait for ever. Time counts only while the client is ready for more.
+         */
+        private void watch() {
+            unwatch();
+            watchdog = timers.after(limits.silence(), () -> mailbox.tell(() -> stop(Outcome.RESET)));
+        }
+
+        private void unwatch() {
+            if (watchdog != null) {
+                watchdog.cancel();
+            }
+        }
+
+        @Override
+        void whole() {
+            try {
+                complete = streaming;
+                if (translation != null) {
+                    complete = false;
+                    rest(translation.finish());
+                    complete = true;
+                }
+            } catch (IOException e) {
+                // The framing ended, the answer did not: it must not look finished.
+                finish(Outcome.RESET);
+                return;
+            }
+            if (witness != null && !parcel.stream()) {
+                finishWitness();
+            }
+            // By the messages interface's word, 429 and 529 are answers to requests that were not taken.
+            boolean notRun = head.header("x-not-run").equals("1")
+                    || dialect == Dialect.MESSAGES && (head.status() == 429 || head.status() == 529);
+            finish(streaming ? Outcome.SERVED : notRun ? Outcome.FULL : Outcome.ERROR);
+        }
+
+        private void finishWitness() {
+            try {
+                witness.finish();
+            } catch (IOException e) {
+                witness = null;
+            }
+        }
+
+        /** The last bytes of a translated answer; a sink that is not there yet gets them with its start. */
+        private void rest(ByteBuffer bytes) {
+            if (bytes.hasRemaining() && sink != null) {
+                sink.chunk(bytes);
+            } else if (bytes.hasRemaining()) {
+                first = bytes;
+            }
+        }
+
+        @Override
+        void ended(Outcome outcome) {
+            unwatch();
+            Translation read = translation != null ? translation : witness;
+            if (parcel.tally() != null && streaming) {
+                parcel.tally().note(dialect, read == null ? 0 : read.skipped(), read == null ? 0 : read.tokens());
+            }
+            report.ended(outcome, 0, head == null ? List.of() : LoadReport.parse(head.header("x-load"), limits.reportFields()));
+            if (sink != null) {
+                tellEnd();
+            }
+        }
+
+        private void tellEnd() {
+            if (complete) {
+                sink.end();
+            } else {
+                sink.broken();
+            }
+        }
+    }
+
+    private final class Probe extends Exchange {
+        private final Targets.ProbeReport report;
+        private List<Double> load = List.of();
+        private Response head;
+
+        Probe(ByteBuffer request, Targets.ProbeReport report) {
+            super(request);
+            this.report = report;
+            timers.after(limits.probe(), () -> mailbox.tell(() -> stop(Outcome.TIMEOUT)));
+        }
+
+        @Override
+        public void head(Response response) {
+            head = response;
+            load = LoadReport.parse(response.header("x-load"), limits.reportFields());
+        }
+
+        @Override
+        public void body(ByteBuffer bytes) {
+            if (load.isEmpty()) {
+                load = LoadReport.parse(StandardCharsets.UTF_8.decode(bytes).toString(), limits.reportFields());
+            }
+            connection.more();
+        }
+
+        @Override
+        void whole() {
+            finish(head.status() == 200 ? Outcome.SERVED : Outcome.FULL);
+        }
+
+        @Override
+        void ended(Outcome outcome) {
+            report.probed(outcome, load);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fawnlb/target/TargetPool.java
@@ -0,0 +1,81 @@
+package fawnlb.target;
+
+import fawnlb.Balancer.Outcome;
+import fawnlb.Balancer.Phase;
+import fawnlb.actor.Mailbox;
+import fawnlb.actor.Timers;
+import fawnlb.dialect.Dialect;
+import fawnlb.flow.Ask;
+import fawnlb.flow.Targets;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.xnio.XnioIoThread;
+
+/** All targets that the list has named, an actor each. */
+public final class TargetPool implements Targets {
+    private static final int MAILBOX = 4096;
+
+    private final XnioIoThread thread;
+    private final Timers timers;
+    private final Limits limits;
+    private final Map<Long, Target> targets = new HashMap<>();
+    private int sockets;
+
+    /** Times in nanoseconds. {@code silence}: a stream without an event for so long is broken. */
+    public record Limits(long connect, long idle, long silence, long probe, int sockets, List<String> reportFields) { }
+
+    public TargetPool(XnioIoThread thread, Timers timers, Limits limits) {
+        this.thread = thread;
+        this.timers = timers;
+        this.limits = limits;
+    }
+
+    /** Where a target listens, as the list says; one that is gone keeps the forwards it has. */
+    public void place(long id, InetSocketAddress address, Phase phase, Dialect dialect) {
+        Target target = targets.get(id);
+        if (phase == Phase.GONE) {
+            if (target != null) {
+                target.leave();
+            }
+        } else if (target == null || !target.is(address, dialect)) {
+            if (target != null) {
+                target.leave();
+            }
+            targets.put(id, new Target(address, dialect, thread, timers, new Mailbox(thread, MAILBOX), limits, this));
+        }
+    }
+
+    @Override
+    public Forward forward(long id, Ask.Parcel parcel, long patience, Report report) {
+        Target target = targets.get(id);
+        if (target == null || !((Parcel) parcel).speaks(target.dialect())) {
+            report.ended(Outcome.NEVER_SENT, 0, List.of());
+            return outcome -> { };
+        }
+        return target.forward((Parcel) parcel, patience, report);
+    }
+
+    @Override
+    public void probe(long id, ProbeReport report) {
+        Target target = targets.get(id);
+        if (target == null) {
+            report.probed(Outcome.NEVER_SENT, List.of());
+        } else {
+            target.probe(report);
+        }
+    }
+
+    boolean socketFree() {
+        return sockets < limits.sockets();
+    }
+
+    void socketOpened() {
+        sockets++;
+    }
+
+    void socketClosed() {
+        sockets--;
+    }
+}
