--- a/src/main/java/fawnlb/cli/Main.java
+++ b/src/main/java/fawnlb/cli/Main.java
@@ -18,6 +18,8 @@
 /** The command line. */
 public final class Main {
     private static final int WRONG = 2;
+    /** One line a record, unless whoever starts the program wants another form. */
+    private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
 
     private Main() { }
 
@@ -90,6 +92,9 @@
     }
 
     public static void main(String[] args) {
+        if (System.getProperty(LOG_FORMAT) == null) {
+            System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
+        }
         JCommander line = JCommander.newBuilder().programName("java -jar fawnlb.jar").addCommand("serve", new Serve())
                 .addCommand("check", new Check()).addCommand("wirehost", new Wire())
                 .addCommand("version", new Version()).build();
--- a/src/main/java/fawnlb/http/Connection.java
+++ b/src/main/java/fawnlb/http/Connection.java
@@ -40,11 +40,6 @@
         void broken(boolean written);
     }
 
-    /** A connect that has not come up. */
-    public interface Connecting {
-        void cancel();
-    }
-
     /** Hears whether a connect came up: a connection, or null. */
     @FunctionalInterface
     public interface Opened {
@@ -59,8 +54,8 @@
     }
 
     /** Connects; the answer comes once, at the latest after {@code timeout} nanoseconds. */
-    public static Connecting open(XnioIoThread thread, Timers timers, InetSocketAddress address, long timeout,
-                                  Opened opened) {
+    public static void open(XnioIoThread thread, Timers timers, InetSocketAddress address, long timeout,
+                            Opened opened) {
         IoFuture<StreamConnection> future = thread.openStreamConnection(address, null,
                 OptionMap.create(Options.TCP_NODELAY, true));
         // Taking the connect back frees its descriptor; one to a vanished machine would hold it for minutes.
@@ -69,7 +64,6 @@
             timer.cancel();
             opened.opened(f.getStatus() == IoFuture.Status.DONE ? done(f) : null);
         }), null);
-        return future::cancel;
     }
 
     private static Connection done(IoFuture<? extends StreamConnection> future) {
@@ -196,5 +190,4 @@
             told.broken(written);
         }
     }
-
 }
--- a/src/main/java/fawnlb/syslog/SyslogSender.java
+++ b/src/main/java/fawnlb/syslog/SyslogSender.java
@@ -31,7 +31,6 @@
     private final Deque<ByteBuffer> waiting = new ArrayDeque<>();
     private StreamConnection connection;
     private boolean connecting;
-    private boolean closed;
     private volatile long dropped;
 
     public SyslogSender(XnioIoThread thread, Timers timers, Mailbox mailbox, InetSocketAddress collector, boolean tcp)
@@ -47,12 +46,12 @@
     }
 
     public void send(byte[] record) {
-        mailbox.tell(() -> {
+        boolean told = mailbox.tell(() -> {
             if (datagrams != null) {
                 datagram(record);
                 return;
             }
-            if (closed || waiting.size() >= MOST_WAITING) {
+            if (waiting.size() >= MOST_WAITING) {
                 dropped++;
                 return;
             }
@@ -64,6 +63,7 @@
                 connect();
             }
         });
+        dropped += told ? 0 : 1;
     }
 
     /** Records that no collector got, as far as can be seen from here. */
@@ -71,14 +71,6 @@
         return dropped;
     }
 
-    public void close() {
-        mailbox.tell(() -> {
-            closed = true;
-            IoUtils.safeClose(datagrams);
-            IoUtils.safeClose(connection);
-        });
-    }
-
     private void datagram(byte[] record) {
         try {
             dropped += datagrams.send(ByteBuffer.wrap(record), collector) == 0 ? 1 : 0;
@@ -119,9 +111,9 @@
     }
 
     private void again() {
-        if (!closed && !waiting.isEmpty()) {
+        if (!waiting.isEmpty()) {
             timers.after(RECONNECT, () -> mailbox.tell(() -> {
-                if (connection == null && !closed) {
+                if (connection == null) {
                     connect();
                 }
             }));
--- a/src/main/java/fawnlb/target/Target.java
+++ b/src/main/java/fawnlb/target/Target.java
@@ -123,7 +123,6 @@
     private abstract class Exchange implements Connection.Call {
         final ByteBuffer request;
         Connection connection;
-        private Connection.Connecting connecting;
         boolean done;
 
         Exchange(ByteBuffer request) {
@@ -139,7 +138,7 @@
                 connection.send(request, this);
             } else if (pool.socketFree()) {
                 pool.socketOpened();
-                connecting = Connection.open(thread, timers, address, limits.connect(), this::opened);
+                Connection.open(thread, timers, address, limits.connect(), this::opened);
             } else {
                 finish(Outcome.CONNECT_FAILED);
             }
--- a/src/main/java/fawnlb/target/TargetPool.java
+++ b/src/main/java/fawnlb/target/TargetPool.java
@@ -35,14 +35,12 @@
     /** Where a target listens, as the list says; one that is gone keeps the forwards it has. */
     public void place(long id, InetSocketAddress address, Phase phase, Dialect dialect) {
         Target target = targets.get(id);
-        if (phase == Phase.GONE) {
-            if (target != null) {
-                target.leave();
-            }
-        } else if (target == null || !target.is(address, dialect)) {
-            if (target != null) {
-                target.leave();
-            }
+        boolean changed = target != null && (phase == Phase.GONE || !target.is(address, dialect));
+        if (changed) {
+            targets.remove(id);
+            target.leave();
+        }
+        if (phase != Phase.GONE && (target == null || changed)) {
             targets.put(id, new Target(address, dialect, thread, timers, new Mailbox(thread, MAILBOX), limits, this));
         }
     }
--- /dev/null
+++ b/src/test/java/fawnlb/cli/JarIT.java
@@ -0,0 +1,99 @@
+package fawnlb.cli;
+
+import static fawnlb.cli.StandIn.CHUNKED;
+import static fawnlb.cli.StandIn.chunk;
+import static fawnlb.cli.StandIn.head;
+import static fawnlb.cli.StandIn.write;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.Test;
+
+/** The jar as it is built, started as the deploy file starts it. */
+public class JarIT {
+    private static Process start(String command, String... arguments) throws IOException {
+        Matcher line = Pattern.compile("(?m)^run = \"exec (.*) serve\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        assertTrue(line.find());
+        List<String> words = new ArrayList<>(List.of(line.group(1).split(" ")));
+        words.set(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        words.add(command);
+        words.addAll(List.of(arguments));
+        return new ProcessBuilder(words).redirectErrorStream(true).start();
+    }
+
+    private static String output(Process process, int code) throws Exception {
+        String text = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(text, code, process.exitValue());
+        return text;
+    }
+
+    @Test
+    public void commandsSayWhatTheyAreForAndWhatIsWrong() throws Exception {
+        assertTrue(output(start("version"), 0).startsWith("fawnlb 0."));
+        assertTrue(output(start("check", "--config", "examples/node.json", "--broker", "examples/messages.json"), 0)
+                .contains("1 team(s)"));
+        for (String[] arguments : new String[][] {{"--config", "nowhere.json"}, {"--config", "pom.xml"},
+            {"--config", "examples/node.json", "--broker", "examples/node.json"}, {"--odd"}}) {
+            String text = output(start("serve", arguments), 2);
+            assertTrue(text, text.startsWith("fawnlb: ") && text.lines().count() == 1);
+        }
+    }
+
+    private static Socket connect(BufferedReader log) throws IOException {
+        Pattern serves = Pattern.compile("serves on /?127\\.0\\.0\\.1:(\\d+)");
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            Matcher matcher = serves.matcher(line);
+            if (matcher.find()) {
+                Socket socket = new Socket();
+                socket.connect(new InetSocketAddress("127.0.0.1", Integer.parseInt(matcher.group(1))));
+                socket.setSoTimeout(10_000);
+                return socket;
+            }
+        }
+        throw new IOException("the node never served");
+    }
+
+    /** What a node has taken before SIGTERM is answered whole, and the process then ends by itself. */
+    @Test
+    public void aPlannedEndAnswersWhatWasTaken() throws Exception {
+        CountDownLatch ending = new CountDownLatch(1);
+        CountDownLatch begun = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + chunk("data: a\n\n"));
+            begun.countDown();
+            ending.await(10, TimeUnit.SECONDS);
+            write(socket, chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+        })) {
+            Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
+                    Rigged.member(1, target.address(), "c", "ready")));
+            Process node = start("serve", "--config", config.toString());
+            try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
+                 Socket client = connect(log)) {
+                write(client, Rigged.chat("id", 3000).replace("Connection: close\r\n", ""));
+                assertTrue(begun.await(5, TimeUnit.SECONDS));
+                node.destroy();
+                ending.countDown();
+                String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                assertTrue(answer, answer.contains("data: [DONE]") && answer.endsWith("0\r\n\r\n"));
+                assertTrue("ends by itself", node.waitFor(5, TimeUnit.SECONDS));
+            } finally {
+                node.destroyForcibly();
+            }
+        }
+    }
+}
--- a/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -16,6 +16,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -226,6 +229,63 @@
         }
     }
 
+    /** A target that left and came back under its id must have its connections kept again, not one a request. */
+    @Test
+    public void aTargetThatComesBackIsAsBefore() throws Exception {
+        try (StandIn target = serving(); StandIn discovery = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED));
+            for (String phase : new String[] {"gone", "ready"}) {
+                write(socket, chunk("{\"revision\":2,\"complete\":false,\"members\":["
+                        + Rigged.member(1, target.address(), "c", phase) + "]}\n"));
+            }
+            socket.getInputStream().read();
+        }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(), ""), null)) {
+            for (int i = 0; i < 5; i++) {
+                assertTrue(rig.ask(0, chat("id-" + i, 3000)).startsWith("HTTP/1.1 200"));
+                until("nothing open", () -> rig.node.open() == 0);
+            }
+            assertEquals(1, target.connections.get());
+        }
+    }
+
+    /** A request written to a connection that its target is just closing would count as a reset. */
+    @Test
+    public void anIdleConnectionIsRetiredBeforeItsTargetClosesIt() throws Exception {
+        try (StandIn target = serving(); Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
+                Rigged.member(1, target.address(), "c", "ready")).replace("15000000000", "600000000"), null)) {
+            rig.ask(0, chat("id", 3000));
+            long start = System.nanoTime();
+            until("retired", () -> target.closed.get() == 1);
+            assertTrue(System.nanoTime() - start < 600_000_000L);
+        }
+    }
+
+    /** A machine that vanished answers no connect: waiting for the system to give up would cost the request. */
+    @Test
+    public void aConnectThatNeverComesUpIsTakenBack() throws Exception {
+        List<Socket> fill = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()); StandIn target = serving();
+             Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1", Rigged.member(1, "127.0.0.1:"
+                     + full.getLocalPort(), "c", "ready") + "," + Rigged.member(2, target.address(), "c", "ready")), null)) {
+            try {
+                while (true) {
+                    Socket socket = new Socket();
+                    fill.add(socket);
+                    socket.connect(full.getLocalSocketAddress(), 200);
+                }
+            } catch (SocketTimeoutException e) {
+                // From here on no connect comes up.
+            }
+            for (int i = 0; i < 6; i++) {
+                assertTrue(rig.ask(0, chat("id-" + i, 2000, "X-Key: " + i + "\r\n")).startsWith("HTTP/1.1 200"));
+            }
+        } finally {
+            for (Socket socket : fill) {
+                socket.close();
+            }
+        }
+    }
+
     /** Discovery that vanished says nothing: what it would have told counts as told six seconds later. */
     @Test
     public void aWatchThatFallsSilentOrEndsIsOpenedAgainFromTheLastRevision() throws Exception {
--- a/src/test/java/fawnlb/cli/StandIn.java
+++ b/src/test/java/fawnlb/cli/StandIn.java
@@ -18,6 +18,7 @@
 final class StandIn implements AutoCloseable {
     final List<Request> requests = new CopyOnWriteArrayList<>();
     final AtomicInteger connections = new AtomicInteger();
+    final AtomicInteger closed = new AtomicInteger();
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final Script script;
@@ -77,6 +78,7 @@
                 requests.add(request);
                 script.answer(request, socket);
             }
+            closed.incrementAndGet();
         }
     }
 
--- /dev/null
+++ b/src/test/java/fawnlb/flow/FlowsTest.java
@@ -0,0 +1,213 @@
+package fawnlb.flow;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import fawnlb.Balancer;
+import fawnlb.Balancer.Ended;
+import fawnlb.Balancer.Outcome;
+import fawnlb.Balancer.Send;
+import fawnlb.actor.Mailbox;
+import fawnlb.actor.Timers;
+import fawnlb.config.SettingsParser;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.Test;
+
+/** The core alone: a module that does as told, targets and a clock by hand. */
+public class FlowsTest {
+    private static final long MS = 1_000_000;
+    private final List<String> seen = new ArrayList<>();
+    private final List<Balancer.Event> events = new ArrayList<>();
+    private final List<Targets.Report> reports = new ArrayList<>();
+    private final Hand hand = new Hand();
+    private Balancer.Sink module;
+    private final Flows flows = new Flows(new SettingsParser("limits.most-tries=3\nlimits.most-held=2").settings(), 1,
+            (settings, seed, sink) -> {
+                module = sink;
+                return (now, event) -> events.add(event);
+            }, new Mailbox(Runnable::run, 100), hand, new ByHand(), new NoRoster());
+
+    /** A clock that moves when told. */
+    private static final class Hand implements Timers {
+        private final List<Object[]> due = new ArrayList<>();
+        private long now = 1000 * MS;
+
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public Timer after(long nanos, Runnable task) {
+            Object[] entry = {now + nanos, task};
+            due.add(entry);
+            return () -> due.remove(entry);
+        }
+
+        void pass(long nanos) {
+            now += nanos;
+            for (Object[] entry : List.copyOf(due)) {
+                if ((Long) entry[0] <= now && due.remove(entry)) {
+                    ((Runnable) entry[1]).run();
+                }
+            }
+        }
+    }
+
+    private final class ByHand implements Targets {
+        @Override
+        public Forward forward(long target, Ask.Parcel parcel, long patience, Report report) {
+            reports.add(report);
+            int number = reports.size();
+            seen.add("forward " + target);
+            return outcome -> {
+                seen.add("stop " + number + ' ' + outcome);
+                report.ended(outcome, 0, List.of());
+            };
+        }
+
+        @Override
+        public void probe(long target, ProbeReport report) {
+            report.probed(Outcome.SERVED, List.of(2.0));
+        }
+    }
+
+    private static final class NoRoster implements Roster {
+        @Override
+        public void subscribe() { }
+
+        @Override
+        public void fetch() { }
+    }
+
+    private final class Client implements Listener {
+        @Override
+        public void streaming(Source source) {
+            seen.add("streaming");
+        }
+
+        @Override
+        public void refused(Outcome cause, long retryAfter) {
+            seen.add("refused " + cause + ' ' + retryAfter / MS);
+        }
+
+        @Override
+        public void failed(Outcome cause) {
+            seen.add("failed " + cause);
+        }
+    }
+
+    private static final class Stream implements Source {
+        @Override
+        public void into(Sink sink) {
+            sink.chunk(ByteBuffer.allocate(1));
+        }
+
+        @Override
+        public void more() { }
+    }
+
+    private Flows.Ticket take() {
+        return flows.take(new Ask(0, 0, 1, 0, 100 * MS, 1, 0, 1, false, null), new Client());
+    }
+
+    private Outcome lastOutcome() {
+        return ((Ended) events.get(events.size() - 1)).outcome();
+    }
+
+    @Test
+    public void aModuleThatSaysNothingCostsNoAnswer() {
+        take();
+        hand.pass(99 * MS);
+        assertEquals(List.of("refused null 1000"), seen);
+        assertTrue(events.get(1) instanceof Balancer.ClientGone);
+        assertEquals(0, flows.open());
+    }
+
+    @Test
+    public void aForwardIsStoppedAtTheDeadlineAndTheAnswerIsGivenOnce() {
+        take();
+        module.act(new Send(1, 7, 0));
+        hand.pass(90 * MS);
+        assertEquals(Outcome.TIMEOUT, lastOutcome());
+        module.act(new Balancer.Refuse(1, 5 * MS));
+        module.act(new Balancer.Fail(1));
+        hand.pass(50 * MS);
+        assertEquals(List.of("forward 7", "stop 1 TIMEOUT", "refused TIMEOUT 5"), seen);
+        assertEquals(0, flows.open());
+    }
+
+    @Test
+    public void neverTwoForwardsAtOnceNorMoreThanAllowedNorOneForAFlowThatIsOver() {
+        take();
+        module.act(new Send(1, 7, 0));
+        module.act(new Send(1, 8, 0));
+        assertEquals(Outcome.NEVER_SENT, lastOutcome());
+        reports.get(0).ended(Outcome.ERROR, 0, List.of());
+        module.act(new Send(1, 8, 0));
+        reports.get(1).ended(Outcome.ERROR, 0, List.of());
+        module.act(new Send(1, 9, 0));
+        assertEquals(Outcome.NEVER_SENT, lastOutcome());
+        module.act(new Balancer.Fail(1));
+        module.act(new Send(1, 9, 0));
+        assertTrue(((Ended) events.get(events.size() - 1)).over());
+        assertEquals(List.of("forward 7", "forward 8", "failed ERROR"), seen);
+    }
+
+    @Test
+    public void aStreamHasNoDeadlineAndItsEndIsToldOnce() {
+        take();
+        module.act(new Send(1, 7, 0));
+        reports.get(0).started(new Stream());
+        hand.pass(1000 * MS);
+        module.act(new Balancer.Refuse(1, 0));
+        reports.get(0).ended(Outcome.SERVED, 0, List.of());
+        reports.get(0).ended(Outcome.RESET, 0, List.of());
+        assertEquals(List.of("forward 7", "streaming"), seen);
+        assertEquals(1, events.stream().filter(e -> e instanceof Ended).count());
+        assertEquals(0, flows.open());
+    }
+
+    @Test
+    public void aClientThatLeavesIsOwedNothingAndItsForwardIsCalledOff() {
+        for (boolean streaming : new boolean[] {false, true}) {
+            seen.clear();
+            reports.clear();
+            Flows.Ticket ticket = take();
+            long id = streaming ? 2 : 1;
+            module.act(new Send(id, 7, 0));
+            if (streaming) {
+                reports.get(0).started(new Stream());
+            }
+            ticket.gone();
+            ticket.gone();
+            assertEquals(streaming ? List.of("forward 7", "streaming", "stop 1 CANCELLED")
+                    : List.of("forward 7", "stop 1 CANCELLED"), seen);
+            assertEquals(0, flows.open());
+        }
+    }
+
+    @Test
+    public void thereIsRoomForSoManyFlows() {
+        assertNotNull(take());
+        assertNotNull(take());
+        assertNull(take());
+        module.act(new Balancer.Refuse(1, 0));
+        assertNotNull(take());
+    }
+
+    @Test
+    public void probesAndTimersComeBackToTheModule() {
+        module.act(new Balancer.Probe(4));
+        assertEquals(List.of(2.0), ((Balancer.Probed) events.get(0)).load());
+        module.act(new Balancer.Timer(hand.now() + 5 * MS, 9));
+        hand.pass(4 * MS);
+        assertEquals(1, events.size());
+        hand.pass(MS);
+        assertEquals(new Balancer.TimerDue(9), events.get(1));
+    }
+}
