Free finished exchanges: connections kept every request they ever carried

Ruled out: descriptors (565 of 1,024), the watchdog (no reset), accepting (798 not taken came after the stall). 56 MB over 3,300 flows is a request body each. At fault: ClientExchange.serve added a close listener to the connection for each exchange, and a kept-alive connection holds its listeners until it closes, each with its request. Now one listener per connection knows the exchange in work. ClientExchangeTest holds 20 exchanges weakly on one connection.

--- a/src/main/java/fawnlb/actor/Mailbox.java
+++ b/src/main/java/fawnlb/actor/Mailbox.java
@@ -53,8 +53,8 @@
             size.decrementAndGet();
             try {
                 message.run();
-            } catch (RuntimeException e) {
-                // One bad message must not end the thread that all actors share.
+            } catch (RuntimeException | Error e) {
+                // One bad message must not stop this actor, or the thread that all actors share.
                 LOG.log(Level.SEVERE, "message failed", e);
             }
         }
--- a/src/main/java/fawnlb/cli/Node.java
+++ b/src/main/java/fawnlb/cli/Node.java
@@ -5,6 +5,7 @@
 import fawnlb.Choice;
 import fawnlb.actor.IoTimers;
 import fawnlb.actor.Mailbox;
+import fawnlb.client.BodyReader;
 import fawnlb.client.Connections;
 import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
@@ -76,11 +77,12 @@
         flows = new Flows(settings, config.seed(), Choice::new, new Mailbox(thread, MAILBOX), timers, targets, discovery);
         core[0] = flows;
         discovery.known(config.known() == null ? new MemberList(0, true, List.of()) : config.known());
-        front = new PlatformFront(flows, settings, !messageKinds().isEmpty());
+        BodyReader bodies = new BodyReader();
+        front = new PlatformFront(flows, bodies, settings, !messageKinds().isEmpty());
         int clients = config.sockets() * 6 / 10;
         listen(config.listen(), front, broker == null ? clients : clients / 2);
         if (broker != null) {
-            listen(broker.listen(), new MessagesFront(flows, settings, broker.contracts(), timers,
+            listen(broker.listen(), new MessagesFront(flows, bodies, settings, broker.contracts(), timers,
                     flowLog(thread, timers)), clients / 2);
         }
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
--- a/src/main/java/fawnlb/client/ClientExchange.java
+++ b/src/main/java/fawnlb/client/ClientExchange.java
@@ -8,6 +8,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
@@ -17,10 +18,13 @@
 
 /** The actor of one client's exchange: passes the answer on as it comes, and sees the client leave. */
 public final class ClientExchange implements Listener, Source.Sink {
+    private static final AttachmentKey<Serving> SERVING = AttachmentKey.create(Serving.class);
+
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
     private final Mailbox mailbox;
     private final Replies replies;
+    private Serving serving;
     private Flows.Ticket ticket;
     private Source source;
     private StreamSinkChannel channel;
@@ -41,7 +45,38 @@
         // Undertow does not read while a request is being served, and would not see its client leave.
         connection.getChannel().getSourceChannel().setReadListener(c -> readable());
         connection.getOriginalSourceConduit().resumeReads();
-        exchange.getConnection().addCloseListener(c -> mailbox.tell(this::left));
+        serving = connection.getAttachment(SERVING);
+        if (serving == null) {
+            serving = new Serving();
+            connection.putAttachment(SERVING, serving);
+            Serving watched = serving;
+            connection.addCloseListener(c -> watched.closed());
+        }
+        serving.exchange = this;
+    }
+
+    /**
+     * Which exchange a connection is serving. A connection keeps its close listeners for as long as it stays
+     * open: with one for each exchange it would keep every request that it ever carried.
+     */
+    private static final class Serving {
+        private ClientExchange exchange;
+
+        void closed() {
+            ClientExchange last = exchange;
+            if (last != null) {
+                last.mailbox.tell(last::left);
+            }
+        }
+    }
+
+    /** Told once, at the end of the exchange. */
+    private void finished(Replies.End end, int status, Outcome cause) {
+        done = true;
+        if (serving != null) {
+            serving.exchange = null;
+        }
+        replies.finished(end, status, cause);
     }
 
     private void readable() {
@@ -72,10 +107,9 @@
 
     private void left() {
         if (!done) {
-            done = true;
+            finished(Replies.End.GONE, channel == null ? 0 : StatusCodes.OK, null);
             ticket.gone();
             IoUtils.safeClose(connection);
-            replies.finished(Replies.End.GONE, channel == null ? 0 : StatusCodes.OK, null);
         }
     }
 
@@ -119,9 +153,8 @@
         mailbox.tell(() -> {
             if (!done) {
                 // Closed without a last chunk: a cut stream must not look finished.
-                done = true;
+                finished(Replies.End.BROKEN, StatusCodes.OK, null);
                 IoUtils.safeClose(connection);
-                replies.finished(Replies.End.BROKEN, StatusCodes.OK, null);
             }
         });
     }
@@ -167,9 +200,8 @@
         if (done) {
             return;
         }
-        done = true;
+        finished(end, reply.status(), cause);
         write(exchange, reply, retryAfter);
-        replies.finished(end, reply.status(), cause);
     }
 
     /** Sends a fixed response; with a time to come back if one is given, in nanoseconds. */
@@ -183,8 +215,7 @@
     }
 
     private void finish() {
-        done = true;
+        finished(Replies.End.SERVED, StatusCodes.OK, null);
         exchange.endExchange();
-        replies.finished(Replies.End.SERVED, StatusCodes.OK, null);
     }
 }
--- a/src/main/java/fawnlb/dialect/Fields.java
+++ b/src/main/java/fawnlb/dialect/Fields.java
@@ -14,6 +14,8 @@
 final class Fields {
     static final JsonFactory JSON = new JsonFactory();
     private static final int DEEPEST = 32;
+    private static final int LONGEST_PATH = 512;
+    private static final int MOST_VALUES = 20_000;
 
     private final Map<String, String> values = new HashMap<>();
     private final Map<String, Integer> sizes = new HashMap<>();
@@ -45,8 +47,9 @@
     }
 
     private void read(JsonParser in, String path, int depth) throws IOException {
-        if (depth > DEEPEST) {
-            throw new IOException("JSON nested deeper than " + DEEPEST);
+        // A path repeats the names above it: long ones over many values would cost far more than the body.
+        if (depth > DEEPEST || path.length() > LONGEST_PATH || values.size() + sizes.size() > MOST_VALUES) {
+            throw new IOException("JSON too deep, too wide or with names too long");
         }
         if (in.currentToken() == null) {
             throw new IOException("JSON ends early");
--- a/src/main/java/fawnlb/flow/Flows.java
+++ b/src/main/java/fawnlb/flow/Flows.java
@@ -18,7 +18,7 @@
     /** A flow ends so long before its client gives up, for the way back and a late timer. */
     private static final long MARGIN = 10_000_000;
     /** If the module has no answer by then, the core gives one: a flow is never left open. */
-    private static final long LAST_CALL = 5_000_000;
+    private static final long LAST_CALL = 25_000_000;
     private static final long DEFAULT_RETRY_AFTER = 1_000_000_000;
 
     private final Balancer.Settings settings;
--- a/src/main/java/fawnlb/messages/MessagesFront.java
+++ b/src/main/java/fawnlb/messages/MessagesFront.java
@@ -34,13 +34,16 @@
     private static final long LONGEST_WAIT_MS = 86_400_000;
 
     private final Flows flows;
+    private final BodyReader bodies;
     private final Settings settings;
     private final Contracts contracts;
     private final Timers timers;
     private final FlowLog log;
 
-    public MessagesFront(Flows flows, Settings settings, Contracts contracts, Timers timers, FlowLog log) {
+    public MessagesFront(Flows flows, BodyReader bodies, Settings settings, Contracts contracts, Timers timers,
+                         FlowLog log) {
         this.flows = flows;
+        this.bodies = bodies;
         this.settings = settings;
         this.contracts = contracts;
         this.timers = timers;
@@ -56,7 +59,7 @@
             exchange.getResponseHeaders().put(Headers.ALLOW, "POST");
             new Refusal(exchange, dialect).say(StatusCodes.METHOD_NOT_ALLOWED, "only POST is served here", 0);
         } else {
-            BodyReader.receive(exchange, (e, body) -> take(e, dialect, body),
+            bodies.receive(exchange, (e, body) -> take(e, dialect, body),
                     (e, status, text) -> new Refusal(e, dialect).say(status, text, 0));
         }
     }
--- a/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/src/main/java/fawnlb/platform/PlatformFront.java
@@ -23,13 +23,15 @@
     private static final long NO_ROOM_RETRY = 1_000_000_000;
 
     private final Flows flows;
+    private final BodyReader bodies;
     private final AskReader asks;
     private final boolean mixed;
     private volatile boolean draining;
 
     /** Mixed: some targets speak the other dialect, so that every request must be one that can be translated. */
-    public PlatformFront(Flows flows, Settings settings, boolean mixed) {
+    public PlatformFront(Flows flows, BodyReader bodies, Settings settings, boolean mixed) {
         this.flows = flows;
+        this.bodies = bodies;
         this.asks = new AskReader(settings);
         this.mixed = mixed;
     }
@@ -46,7 +48,7 @@
                     draining ? "draining" : "ready");
             case "/v1/chat/completions" -> {
                 if (exchange.getRequestMethod().equals(Methods.POST)) {
-                    BodyReader.receive(exchange, this::take, PlatformFront::text);
+                    bodies.receive(exchange, this::take, PlatformFront::text);
                 } else {
                     exchange.getResponseHeaders().put(Headers.ALLOW, "POST");
                     text(exchange, StatusCodes.METHOD_NOT_ALLOWED, "only POST is served here");
--- a/src/main/java/fawnlb/target/Target.java
+++ b/src/main/java/fawnlb/target/Target.java
@@ -121,7 +121,7 @@
 
     /** One exchange with the target, from finding a connection to its end. */
     private abstract class Exchange implements Connection.Call {
-        final ByteBuffer request;
+        private ByteBuffer request;
         Connection connection;
         boolean done;
 
@@ -135,7 +135,7 @@
             }
             connection = idleConnection();
             if (connection != null) {
-                connection.send(request, this);
+                send();
             } else if (pool.socketFree()) {
                 pool.socketOpened();
                 Connection.open(thread, timers, address, limits.connect(), this::opened);
@@ -152,10 +152,17 @@
                 keep(opened);
             } else {
                 connection = opened;
-                opened.send(request, this);
+                send();
             }
         }
 
+        private void send() {
+            ByteBuffer bytes = request;
+            // A stream may run for long; its request need not stay in memory.
+            request = null;
+            connection.send(bytes, this);
+        }
+
         @Override
         public void end(boolean reusable) {
             Connection used = connection;
--- /dev/null
+++ b/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -0,0 +1,69 @@
+package fawnlb.client;
+
+import static org.junit.Assert.assertTrue;
+
+import fawnlb.Balancer.Outcome;
+import fawnlb.actor.Mailbox;
+import io.undertow.Undertow;
+import io.undertow.util.SameThreadExecutor;
+import java.io.InputStream;
+import java.lang.ref.WeakReference;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.Test;
+
+public class ClientExchangeTest {
+    private static final class Words implements Replies {
+        @Override
+        public String servedType() {
+            return "text/plain";
+        }
+
+        @Override
+        public Reply refused(Outcome cause) {
+            return new Reply(503, "text/plain", "no\n");
+        }
+
+        @Override
+        public Reply failed(Outcome cause) {
+            return refused(cause);
+        }
+    }
+
+    /** An overloaded day filled a node's heap in 50 s: connections kept every exchange that they had carried. */
+    @Test
+    public void aConnectionKeepsNoExchangeThatIsOver() throws Exception {
+        List<WeakReference<ClientExchange>> served = new CopyOnWriteArrayList<>();
+        Undertow server = Undertow.builder().setIoThreads(1).addHttpListener(0, "127.0.0.1").setHandler(exchange ->
+                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                    ClientExchange client = new ClientExchange(exchange, new Mailbox(exchange.getIoThread(), 9), new Words());
+                    served.add(new WeakReference<>(client));
+                    client.serve(() -> { });
+                    client.refused(null, 1);
+                })).build();
+        server.start();
+        InetSocketAddress address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(10_000);
+            InputStream in = socket.getInputStream();
+            for (int i = 0; i < 20; i++) {
+                socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
+                StringBuilder answer = new StringBuilder();
+                while (!answer.toString().endsWith("no\n")) {
+                    answer.append((char) in.read());
+                }
+            }
+            long end = System.nanoTime() + 10_000_000_000L;
+            long kept = 20;
+            while (kept > 2 && System.nanoTime() < end) {
+                System.gc();
+                kept = served.stream().filter(reference -> reference.get() != null).count();
+            }
+            assertTrue("kept " + kept + " of 20", kept <= 2);
+        } finally {
+            server.stop();
+        }
+    }
+}
