Pass a target's objection to the request itself on to the team; share sockets evenly

A target's 400, 404, 413 or 422 would come from every target, yet the broker tried others and then asked the client to come back. It is now the answer, in the client's dialect, after one forward (matrix test).

--- a/src/main/java/fawnlb/cli/Node.java
+++ b/src/main/java/fawnlb/cli/Node.java
@@ -69,8 +69,10 @@
                 .set(Options.THREAD_DAEMON, false).getMap());
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
+        // A flow holds one connection on either side; what is left is for the list, the log and the process.
+        int share = config.sockets() * 46 / 100;
         TargetPool targets = new TargetPool(thread, timers, new TargetPool.Limits(settings.connections().timeout(),
-                settings.connections().idle(), SILENCE, PROBE, config.sockets() * 3 / 10, settings.reportFields()));
+                settings.connections().idle(), SILENCE, PROBE, share, settings.reportFields()));
         Flows[] core = new Flows[1];
         Discovery discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(),
                 (kind, list) -> core[0].listed(listed(kind, list, targets)));
@@ -79,11 +81,10 @@
         discovery.known(config.known() == null ? new MemberList(0, true, List.of()) : config.known());
         BodyReader bodies = new BodyReader();
         front = new PlatformFront(flows, bodies, settings, !messageKinds().isEmpty());
-        int clients = config.sockets() * 6 / 10;
-        listen(config.listen(), front, broker == null ? clients : clients / 2);
+        listen(config.listen(), front, broker == null ? share : share / 2);
         if (broker != null) {
             listen(broker.listen(), new MessagesFront(flows, bodies, settings, broker.contracts(), timers,
-                    flowLog(thread, timers)), clients / 2);
+                    flowLog(thread, timers)), share / 2);
         }
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
--- a/src/main/java/fawnlb/client/ClientExchange.java
+++ b/src/main/java/fawnlb/client/ClientExchange.java
@@ -10,7 +10,6 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
-import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.xnio.IoUtils;
@@ -107,7 +106,7 @@
 
     private void left() {
         if (!done) {
-            finished(Replies.End.GONE, channel == null ? 0 : StatusCodes.OK, null);
+            finished(Replies.End.GONE, channel == null ? 0 : replies.servedStatus(), null);
             ticket.gone();
             IoUtils.safeClose(connection);
         }
@@ -120,7 +119,7 @@
                 return;
             }
             source = from;
-            exchange.setStatusCode(StatusCodes.OK);
+            exchange.setStatusCode(replies.servedStatus());
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, replies.servedType());
             if (exchange.isHttp11()) {
                 // Undertow sends no chunks on a connection that is to close: a cut stream would look whole.
@@ -153,7 +152,7 @@
         mailbox.tell(() -> {
             if (!done) {
                 // Closed without a last chunk: a cut stream must not look finished.
-                finished(Replies.End.BROKEN, StatusCodes.OK, null);
+                finished(Replies.End.BROKEN, replies.servedStatus(), null);
                 IoUtils.safeClose(connection);
             }
         });
@@ -215,7 +214,7 @@
     }
 
     private void finish() {
-        finished(Replies.End.SERVED, StatusCodes.OK, null);
+        finished(Replies.End.SERVED, replies.servedStatus(), null);
         exchange.endExchange();
     }
 }
--- a/src/main/java/fawnlb/client/Replies.java
+++ b/src/main/java/fawnlb/client/Replies.java
@@ -13,6 +13,11 @@
     /** The content type of an answer that a target gave. */
     String servedType();
 
+    /** The status of an answer that a target gave. */
+    default int servedStatus() {
+        return 200;
+    }
+
     Reply refused(Outcome cause);
 
     Reply failed(Outcome cause);
--- a/src/main/java/fawnlb/dialect/Translation.java
+++ b/src/main/java/fawnlb/dialect/Translation.java
@@ -11,6 +11,8 @@
     private static final int LONGEST_ANSWER = 1 << 20;
 
     private final boolean stream;
+    private final Dialect errorTo;
+    private final int errorStatus;
     private final SseParser events = new SseParser();
     private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
     private final PieceReader reader;
@@ -21,9 +23,20 @@
     private long output;
 
     public Translation(Dialect from, Dialect to, boolean stream) {
+        this(from, to, stream, 0);
+    }
+
+    private Translation(Dialect from, Dialect to, boolean stream, int errorStatus) {
         this.reader = new PieceReader(from);
         this.writer = new PieceWriter(to);
         this.stream = stream;
+        this.errorTo = to;
+        this.errorStatus = errorStatus;
+    }
+
+    /** For a body that is an error; both dialects keep its message in the same place. */
+    public static Translation ofError(Dialect to, int status) {
+        return new Translation(to, to, false, status);
     }
 
     /** What the client gets for these bytes, perhaps nothing yet. */
@@ -58,11 +71,22 @@
             }
             return ByteBuffer.allocate(0);
         }
+        if (errorStatus != 0) {
+            return bytes(ErrorBody.write(errorTo, errorStatus, errorMessage()));
+        }
         List<Piece> pieces = reader.whole(whole.toByteArray());
         pieces.forEach(this::note);
         return bytes(writer.whole(pieces));
     }
 
+    private String errorMessage() {
+        try {
+            return Fields.parse(whole.toByteArray()).text("error.message", "the target refused the request");
+        } catch (IOException e) {
+            return "the target refused the request";
+        }
+    }
+
     private void note(Piece piece) {
         done |= piece instanceof Piece.Done;
         skipped += piece instanceof Piece.Unknown ? 1 : 0;
--- a/src/main/java/fawnlb/messages/BrokerReplies.java
+++ b/src/main/java/fawnlb/messages/BrokerReplies.java
@@ -30,7 +30,12 @@
 
     @Override
     public String servedType() {
-        return stream ? "text/event-stream" : "application/json";
+        return stream && tally.status() == StatusCodes.OK ? "text/event-stream" : "application/json";
+    }
+
+    @Override
+    public int servedStatus() {
+        return tally.status();
     }
 
     @Override
@@ -56,8 +61,9 @@
     @Override
     public void finished(End end, int status, Outcome cause) {
         // Nothing was made for a fixed response; a broken or left stream may have cost all that was booked.
-        boolean none = end == End.REFUSED || end == End.FAILED;
+        boolean rejected = tally.status() != StatusCodes.OK;
+        boolean none = rejected || end == End.REFUSED || end == End.FAILED;
         settle.accept(none ? 0 : tally.tokens() > 0 ? tally.tokens() : -1);
-        log.write(record, end.name().toLowerCase(Locale.ROOT), status, cause, tally, timers.now());
+        log.write(record, rejected ? "rejected" : end.name().toLowerCase(Locale.ROOT), status, cause, tally, timers.now());
     }
 }
--- a/src/main/java/fawnlb/target/Parcel.java
+++ b/src/main/java/fawnlb/target/Parcel.java
@@ -15,6 +15,7 @@
     /** What a target's answer told of itself; belongs to the I/O thread. */
     public static final class Tally {
         private Dialect spoken;
+        private int status = 200;
         private int skipped;
         private long tokens;
 
@@ -24,6 +25,15 @@
             tokens = used;
         }
 
+        void answers(int given) {
+            status = given;
+        }
+
+        /** The status that the target's answer came with. */
+        public int status() {
+            return status;
+        }
+
         /** The dialect of the target that answered, null if none did. */
         public Dialect spoken() {
             return spoken;
--- a/src/main/java/fawnlb/target/Target.java
+++ b/src/main/java/fawnlb/target/Target.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Set;
 import org.xnio.XnioIoThread;
 
 /** One target's actor: its connections and the forwards on them. */
@@ -24,6 +25,9 @@
      *  request written to one that is just being closed would count as a reset. */
     private static final double RETIRE = 0.85;
 
+    /** What a target finds wrong with the request itself: it would with every target, and the client can mend it. */
+    private static final Set<Integer> CLIENT_FAULTS = Set.of(400, 404, 413, 422);
+
     private final InetSocketAddress address;
     private final Dialect dialect;
     private final XnioIoThread thread;
@@ -140,7 +144,8 @@
                 pool.socketOpened();
                 Connection.open(thread, timers, address, limits.connect(), this::opened);
             } else {
-                finish(Outcome.CONNECT_FAILED);
+                // Our own shortage is no fault of the target's.
+                finish(Outcome.NEVER_SENT);
             }
         }
 
@@ -224,12 +229,17 @@
         @Override
         public void head(Response response) {
             head = response;
-            streaming = response.status() == 200;
+            boolean fault = parcel.tally() != null && CLIENT_FAULTS.contains(response.status());
+            streaming = response.status() == 200 || fault;
             if (streaming) {
-                translation = dialect == parcel.dialect() ? null
+                translation = dialect == parcel.dialect() ? null : fault
+                        ? Translation.ofError(parcel.dialect(), response.status())
                         : new Translation(dialect, parcel.dialect(), parcel.stream());
-                witness = translation != null || parcel.tally() == null ? null
+                witness = translation != null || fault || parcel.tally() == null ? null
                         : new Translation(dialect, dialect, parcel.stream());
+                if (fault) {
+                    parcel.tally().answers(response.status());
+                }
                 watch();
                 report.started(this);
             }
--- a/src/test/java/fawnlb/cli/DialectMatrixTest.java
+++ b/src/test/java/fawnlb/cli/DialectMatrixTest.java
@@ -91,6 +91,7 @@
                     write(socket, head(200, "Content-Length: " + body.length() + "\r\n") + body);
                 }
                 case "refused" -> write(socket, head(503, EMPTY, "X-Not-Run: 1\r\n"));
+                case "bad" -> write(socket, head(400, "Content-Length: 43\r\n") + "{\"error\":{\"message\":\"prompt is too long\"}} ");
                 case "failed" -> write(socket, head(500, EMPTY));
                 case "broken" -> {
                     write(socket, first);
@@ -187,6 +188,10 @@
             assertEquals(answer, client == Dialect.MESSAGES, answer.contains("{\"type\":\"error\""));
         }
 
+        String bad = ask("bad-1");
+        assertTrue(bad, bad.startsWith("HTTP/1.1 400") && bad.contains("prompt is too long"));
+        assertTrue(bad, client == target || bad.contains("invalid_request_error"));
+
         String broken = ask("broken-1");
         assertTrue(broken, broken.contains("Hel"));
         assertFalse(broken, broken.contains("\r\n0\r\n") || broken.contains(last(client)));
@@ -205,8 +210,8 @@
         until("no forward is left out", () -> out.get() == 0 && rig.node.open() == 0);
 
         int cutServed = client == target ? 1 : 0;
-        assertEquals(Map.of("served", 3 + cutServed, "refused", 1, "failed", 2, "broken", 2 - cutServed, "gone", 1), ends(9));
-        assertEquals(9, standIn.requests.size());
+        assertEquals(Map.of("served", 3 + cutServed, "refused", 1, "failed", 2, "broken", 2 - cutServed, "gone", 1, "rejected", 1), ends(10));
+        assertEquals(10, standIn.requests.size());
         assertTrue(log.get(0), log.get(0).startsWith("<134>1 ") && log.get(0).contains(" [flow@32473 id=\"served-1\" team=\"t\"")
                 && log.get(0).contains("tokens=\"7\""));
         assertTrue(log.get(1), log.get(1).contains("skipped=\"2\""));
