Read what a target kept and its load from a stream's end; no busy loop behind a full answer

Tail keeps the last kilobyte of a stream, so that the module hears of kept prompt tokens and, where answers carry them, of load reports (table test). While an answer was still being flushed, a client's early bytes or its leaving kept calling a listener that did nothing: reads are now suspended there. The read buffer is one a thread, not one for all threads.

--- a/src/main/java/fawnlb/client/ClientExchange.java
+++ b/src/main/java/fawnlb/client/ClientExchange.java
@@ -80,6 +80,8 @@
 
     private void readable() {
         if (done) {
+            // The answer is still on its way out; what comes meanwhile must not call us again and again.
+            connection.getOriginalSourceConduit().suspendReads();
             return;
         }
         PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
--- a/src/main/java/fawnlb/flow/Flows.java
+++ b/src/main/java/fawnlb/flow/Flows.java
@@ -117,7 +117,8 @@
         Flow flow = new Flow(++lastId, ask, listener, taken + patience);
         flows.put(flow.id, flow);
         open = flows.size();
-        flow.lastCall = timers.after(flow.deadline + LAST_CALL - timers.now(), () -> mailbox.tell(() -> lastCall(flow)));
+        flow.lastCall = timers.after(flow.deadline + LAST_CALL - timers.now(),
+                () -> mailbox.tell(() -> lastCall(flow)));
         tell(new Balancer.Request(flow.id, ask.type(), ask.tenant(), ask.session(), ask.prefix(),
                 Math.max(0, flow.deadline - timers.now()), 0, ask.promptTokens(), ask.prefixTokens(),
                 ask.maxTokens(), false, ask.repeat(), false));
--- a/src/main/java/fawnlb/http/Connection.java
+++ b/src/main/java/fawnlb/http/Connection.java
@@ -17,7 +17,8 @@
  */
 public final class Connection {
     private static final int READ_SIZE = 16 * 1024;
-    private static final ByteBuffer READ = ByteBuffer.allocateDirect(READ_SIZE);
+    /** What one read brings is copied out before the next, so a thread needs only one. */
+    private static final ThreadLocal<ByteBuffer> READ = ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(READ_SIZE));
 
     private final StreamConnection channel;
     private ByteBuffer request;
@@ -126,8 +127,8 @@
             return;
         }
         try {
-            READ.clear();
-            int n = channel.getSourceChannel().read(READ);
+            ByteBuffer in = READ.get().clear();
+            int n = channel.getSourceChannel().read(in);
             if (n == 0) {
                 channel.getSourceChannel().resumeReads();
                 return;
@@ -140,9 +141,9 @@
                 finish(parser.eof());
                 return;
             }
-            READ.flip();
+            in.flip();
             ByteBuffer body = ByteBuffer.allocate(n);
-            parser.feed(READ, body);
+            parser.feed(in, body);
             body.flip();
             tell(body);
         } catch (IOException e) {
--- a/src/main/java/fawnlb/http/ResponseParser.java
+++ b/src/main/java/fawnlb/http/ResponseParser.java
@@ -75,8 +75,8 @@
         while (in.hasRemaining()) {
             char c = (char) (in.get() & 0xff);
             if (c == '\n') {
-                int end = line.length() > 0 && line.charAt(line.length() - 1) == '\r' ? line.length() - 1 : line.length();
-                String text = line.substring(0, end);
+                boolean cr = line.length() > 0 && line.charAt(line.length() - 1) == '\r';
+                String text = line.substring(0, line.length() - (cr ? 1 : 0));
                 line.setLength(0);
                 return text;
             }
--- a/src/main/java/fawnlb/target/Parcel.java
+++ b/src/main/java/fawnlb/target/Parcel.java
@@ -55,9 +55,9 @@
 
     ByteBuffer request(Dialect to, String host, long patience) {
         byte[] content = to == dialect ? body : translated;
-        byte[] head = ("POST " + (to == dialect ? path : to.path()) + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id
-                + "\r\nX-Deadline-Ms: " + patience / 1_000_000 + "\r\nContent-Type: application/json\r\nContent-Length: "
-                + content.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        byte[] head = ("POST " + (to == dialect ? path : to.path()) + " HTTP/1.1\r\nHost: " + host
+                + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + patience / 1_000_000
+                + "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
         return ByteBuffer.allocate(head.length + content.length).put(head).put(content).flip();
     }
 }
--- a/src/main/java/fawnlb/target/Target.java
+++ b/src/main/java/fawnlb/target/Target.java
@@ -213,6 +213,7 @@
         private final Parcel parcel;
         private Translation translation;
         private Translation witness;
+        private final Tail tail = new Tail();
         private Response head;
         private boolean streaming;
         private boolean complete;
@@ -252,6 +253,7 @@
                 return;
             }
             try {
+                tail.add(bytes);
                 observe(bytes.duplicate());
                 deliver(translation == null ? bytes : translation.feed(bytes));
             } catch (IOException e) {
@@ -369,7 +371,8 @@
             if (parcel.tally() != null && streaming) {
                 parcel.tally().note(dialect, read == null ? 0 : read.skipped(), read == null ? 0 : read.tokens());
             }
-            report.ended(outcome, 0, head == null ? List.of() : LoadReport.parse(head.header("x-load"), limits.reportFields()));
+            String load = head == null ? "" : tail.load().isEmpty() ? head.header("x-load") : tail.load();
+            report.ended(outcome, tail.kept(), LoadReport.parse(load, limits.reportFields()));
             if (sink != null) {
                 tellEnd();
             }
