--- a/src/test/java/fawnlb/cli/JarIT.java
+++ b/src/test/java/fawnlb/cli/JarIT.java
@@ -54,20 +54,51 @@
         }
     }
 
-    private static Socket connect(BufferedReader log) throws IOException {
-        Pattern serves = Pattern.compile("serves on /?127\\.0\\.0\\.1:(\\d+)");
+    /** Connects to the front that the node's log names after these words. */
+    private static Socket connect(BufferedReader log, String words) throws IOException {
+        Pattern serves = Pattern.compile(words + " /?127\\.0\\.0\\.1:(\\d+)");
         for (String line = log.readLine(); line != null; line = log.readLine()) {
             Matcher matcher = serves.matcher(line);
             if (matcher.find()) {
-                Socket socket = new Socket();
-                socket.connect(new InetSocketAddress("127.0.0.1", Integer.parseInt(matcher.group(1))));
-                socket.setSoTimeout(10_000);
-                return socket;
+                return connect(Integer.parseInt(matcher.group(1)));
             }
         }
         throw new IOException("the node never served");
     }
 
+    private static Socket connect(int port) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
+        socket.setSoTimeout(10_000);
+        return socket;
+    }
+
+    private static String rest(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    public void theSecondFrontServesATeamFromAChatTarget() throws Exception {
+        try (StandIn target = new StandIn((request, socket) -> write(socket, head(200, CHUNKED)
+                + chunk("data: {\"choices\":[{\"delta\":{\"content\":\"Hi\"}}]}\n\ndata: [DONE]\n\n") + "0\r\n\r\n"))) {
+            Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
+                    Rigged.member(1, target.address(), "c", "ready")));
+            Path broker = Rigged.file(Files.readString(Path.of("examples/messages.json")).replace(":9100", ":0")
+                    .replace("advisor-chat", "chat"));
+            Process node = start("serve", "--config", config.toString(), "--broker", broker.toString());
+            try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
+                 Socket client = connect(log, "teams on")) {
+                write(client, Rigged.post("/v1/messages", "{\"model\":\"advisor\",\"max_tokens\":5,\"stream\":true,"
+                        + "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}", "x-api-key: example-key\r\n",
+                        "Connection: close\r\n"));
+                String answer = rest(client);
+                assertTrue(answer, answer.contains("\"text\":\"Hi\"") && answer.contains("event: message_stop"));
+            } finally {
+                node.destroyForcibly();
+            }
+        }
+    }
+
     /** What a node has taken before SIGTERM is answered whole, and the process then ends by itself. */
     @Test
     public void aPlannedEndAnswersWhatWasTaken() throws Exception {
@@ -83,13 +114,19 @@
                     Rigged.member(1, target.address(), "c", "ready")));
             Process node = start("serve", "--config", config.toString());
             try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
-                 Socket client = connect(log)) {
+                 Socket client = connect(log, "serves on")) {
                 write(client, Rigged.chat("id", 3000).replace("Connection: close\r\n", ""));
                 assertTrue(begun.await(5, TimeUnit.SECONDS));
                 node.destroy();
-                ending.countDown();
-                String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-                assertTrue(answer, answer.contains("data: [DONE]") && answer.endsWith("0\r\n\r\n"));
+                // New connections keep coming for a moment, and are served.
+                try (Socket late = connect(client.getPort())) {
+                    write(late, Rigged.chat("late", 3000));
+                    ending.countDown();
+                    for (Socket socket : new Socket[] {client, late}) {
+                        String answer = rest(socket);
+                        assertTrue(answer, answer.contains("data: [DONE]") && answer.endsWith("0\r\n\r\n"));
+                    }
+                }
                 assertTrue("ends by itself", node.waitFor(5, TimeUnit.SECONDS));
             } finally {
                 node.destroyForcibly();
