Refuse at once where connections run out, after closing idle ones

A connection over the limit was left waiting unaccepted: its request counts as taken and would get no answer. Up to 32 more are now accepted to be told 503 with Retry-After; before that, an idle connection makes room, as the protocol allows.

--- a/src/main/java/fawnlb/cli/Node.java
+++ b/src/main/java/fawnlb/cli/Node.java
@@ -6,7 +6,9 @@
 import fawnlb.actor.IoTimers;
 import fawnlb.actor.Mailbox;
 import fawnlb.client.BodyReader;
+import fawnlb.client.ClientExchange;
 import fawnlb.client.Connections;
+import fawnlb.client.Replies;
 import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
 import fawnlb.dialect.Dialect;
@@ -24,6 +26,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -47,11 +50,15 @@
     private static final long STILL_ACCEPTED_MS = 600;
     private static final int MAILBOX = 8192;
     private static final int BUFFER = 8192;
+    /** Connections over the share, accepted only to be told so. */
+    private static final int SPARE = 32;
+    private static final Replies.Reply NO_ROOM = new Replies.Reply(StatusCodes.SERVICE_UNAVAILABLE, "text/plain",
+            "no room for more connections; try again later\n");
 
     private final NodeConfig config;
     private final BrokerConfig broker;
     private final List<Undertow> servers = new ArrayList<>();
-    private final Connections connections = new Connections();
+    private final Connections connections;
     private XnioWorker worker;
     private PlatformFront front;
     private Flows flows;
@@ -60,6 +67,7 @@
     Node(NodeConfig config, BrokerConfig broker) {
         this.config = config;
         this.broker = broker;
+        this.connections = new Connections(share(config));
     }
 
     void start() throws IOException {
@@ -69,10 +77,8 @@
                 .set(Options.THREAD_DAEMON, false).getMap());
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
-        // A flow holds one connection on either side; what is left is for the list, the log and the process.
-        int share = config.sockets() * 46 / 100;
         TargetPool targets = new TargetPool(thread, timers, new TargetPool.Limits(settings.connections().timeout(),
-                settings.connections().idle(), SILENCE, PROBE, share, settings.reportFields()));
+                settings.connections().idle(), SILENCE, PROBE, share(config), settings.reportFields()));
         Flows[] core = new Flows[1];
         Discovery discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(),
                 (kind, list) -> core[0].listed(listed(kind, list, targets)));
@@ -81,14 +87,19 @@
         discovery.known(config.known() == null ? new MemberList(0, true, List.of()) : config.known());
         BodyReader bodies = new BodyReader();
         front = new PlatformFront(flows, bodies, settings, !messageKinds().isEmpty());
-        listen(config.listen(), front, broker == null ? share : share / 2);
+        listen(config.listen(), front);
         if (broker != null) {
             listen(broker.listen(), new MessagesFront(flows, bodies, settings, broker.contracts(), timers,
-                    flowLog(thread, timers)), share / 2);
+                    flowLog(thread, timers)));
         }
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
 
+    /** A flow holds one connection on either side; what is left is for the list, the log and the process. */
+    private static int share(NodeConfig config) {
+        return config.sockets() * 42 / 100;
+    }
+
     /** Where the platform's front (0) or the broker's (1) listens. */
     InetSocketAddress address(int which) {
         return (InetSocketAddress) servers.get(which).getListenerInfo().get(0).getAddress();
@@ -99,17 +110,20 @@
         return flows.open();
     }
 
-    private void listen(InetSocketAddress address, HttpHandler handler, int most) {
+    private void listen(InetSocketAddress address, HttpHandler handler) {
         Undertow server = Undertow.builder().setWorker(worker).setByteBufferPool(new DefaultByteBufferPool(true, BUFFER, 256, 0))
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 1L << 20)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, most)
-                .setSocketOption(Options.CONNECTION_LOW_WATER, most - 8)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, share(config) + SPARE)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, share(config) + SPARE - 8)
                 .addHttpListener(address.getPort(), address.getHostString())
                 .setHandler(exchange -> {
-                    connections.serving(exchange);
-                    handler.handleRequest(exchange);
+                    if (connections.serving(exchange)) {
+                        handler.handleRequest(exchange);
+                    } else {
+                        ClientExchange.write(exchange, NO_ROOM, SECOND);
+                    }
                 }).build();
         server.start();
         servers.add(server);
--- a/src/main/java/fawnlb/client/Connections.java
+++ b/src/main/java/fawnlb/client/Connections.java
@@ -14,14 +14,27 @@
  */
 public final class Connections {
     private final Map<ServerConnection, Boolean> busy = new ConcurrentHashMap<>();
+    private final int most;
     private volatile boolean draining;
 
-    /** Told of each request at its start. */
-    public void serving(HttpServerExchange exchange) {
+    /** So many connections may be open; beyond that idle ones make room. */
+    public Connections(int most) {
+        this.most = most;
+    }
+
+    /**
+     * Told of each request at its start; false if there is no room for its connection, and it must be refused.
+     * A connection left waiting to be accepted would be worse: its request counts as taken and gets no answer.
+     */
+    public boolean serving(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         if (busy.put(connection, true) == null) {
             connection.addCloseListener(busy::remove);
         }
+        boolean room = busy.size() <= most || closeOneIdle();
+        if (!room) {
+            exchange.setPersistent(false);
+        }
         if (draining) {
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         }
@@ -29,6 +42,17 @@
             busy.replace(connection, false);
             next.proceed();
         });
+        return room;
+    }
+
+    private boolean closeOneIdle() {
+        for (Map.Entry<ServerConnection, Boolean> entry : busy.entrySet()) {
+            if (!entry.getValue()) {
+                IoUtils.safeClose(entry.getKey());
+                return true;
+            }
+        }
+        return false;
     }
 
     /** From here on each connection closes with its answer. */
--- a/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -356,6 +356,33 @@
         }
     }
 
+    /** A connection left unaccepted gets no answer at all; idle ones make room, and then refusals do. */
+    @Test
+    public void beyondItsConnectionsANodeClosesIdleOnesAndThenRefuses() throws Exception {
+        int most = 200 * 42 / 100;
+        CountDownLatch go = new CountDownLatch(1);
+        List<Socket> clients = new ArrayList<>();
+        try (StandIn target = new StandIn((request, socket) -> {
+            go.await(10, TimeUnit.SECONDS);
+            write(socket, head(200, CHUNKED) + chunk(DONE) + "0\r\n\r\n");
+        }); Rigged rig = Rigged.with(target)) {
+            for (int i = 0; i < most; i++) {
+                clients.add(rig.connect(0));
+                write(clients.get(i), chat("id-" + i, 9000).replace("Connection: close\r\n", ""));
+            }
+            until("all busy", () -> target.requests.size() == most);
+            String answer = rig.ask(0, chat("over", 9000));
+            assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: 1\r\n"));
+            go.countDown();
+            until("all idle", () -> rig.node.open() == 0);
+            assertTrue(rig.ask(0, chat("after", 9000)).startsWith("HTTP/1.1 200"));
+        } finally {
+            for (Socket socket : clients) {
+                socket.close();
+            }
+        }
+    }
+
     /** A reader that stands still must stop the reading from the target, not fill memory. */
     @Test
     public void aSlowReaderHoldsItsTargetBack() throws Exception {
