--- a/src/main/java/fawnlb/cli/Main.java
+++ b/src/main/java/fawnlb/cli/Main.java
@@ -13,10 +13,14 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
 
 /** The command line. */
 public final class Main {
+    private static final Logger LOG = Logger.getLogger(Main.class.getName());
     private static final int WRONG = 2;
     /** One line a record, unless whoever starts the program wants another form. */
     private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
@@ -44,6 +48,17 @@
             return read;
         }
 
+        /** Reads the file again. Where the list is comes from the file now: the environment can't change. */
+        synchronized void reload(Node node) {
+            try {
+                Map<String, String> environment = new HashMap<>(System.getenv());
+                environment.remove("PROXY_DISCOVERY");
+                node.reload(NodeConfig.read(Path.of(config), environment));
+            } catch (NodeConfig.Bad e) {
+                LOG.warning("configuration not reloaded, the old settings stay: " + e.getMessage());
+            }
+        }
+
         BrokerConfig broker() throws NodeConfig.Bad {
             return broker == null ? null : BrokerConfig.read(Path.of(broker));
         }
@@ -54,6 +69,7 @@
         @Override
         public void run() throws Exception {
             Node node = new Node(read(), broker());
+            Hangup.handle(() -> reload(node));
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         }
--- a/src/main/java/fawnlb/cli/Node.java
+++ b/src/main/java/fawnlb/cli/Node.java
@@ -5,9 +5,9 @@
 import fawnlb.Choice;
 import fawnlb.actor.IoTimers;
 import fawnlb.actor.Mailbox;
-import fawnlb.client.BodyReader;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.Connections;
+import fawnlb.client.OpenIds;
 import fawnlb.client.Replies;
 import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
@@ -16,16 +16,18 @@
 import fawnlb.discovery.Member;
 import fawnlb.discovery.MemberList;
 import fawnlb.flow.Flows;
+import fawnlb.http.BodyReader;
+import fawnlb.http.Heads;
 import fawnlb.messages.FlowLog;
 import fawnlb.messages.MessagesFront;
 import fawnlb.platform.PlatformFront;
 import fawnlb.syslog.SyslogRecord;
 import fawnlb.syslog.SyslogSender;
 import fawnlb.target.TargetPool;
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -33,11 +35,16 @@
 import java.util.List;
 import java.util.Set;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /** One running node: its actors, all on one I/O thread, and its planned end. */
 final class Node {
@@ -50,18 +57,24 @@
     private static final long STILL_ACCEPTED_MS = 600;
     private static final int MAILBOX = 8192;
     private static final int BUFFER = 8192;
-    /** Connections over the share, accepted only to be told so. */
-    private static final int SPARE = 32;
+    /** A client's head may be so long and have so many headers, and takes so long at most. */
+    private static final int LONGEST_HEAD = 16 * 1024;
+    private static final int MOST_HEADERS = 64;
+    private static final int HEAD_MS = 1000;
+    /** A connection without a request may be closed after 2 s, and one that stays silent must be within 3 s. */
+    private static final int IDLE_MS = 2300;
+    private static final int BACKLOG = 1000;
     private static final Replies.Reply NO_ROOM = new Replies.Reply(StatusCodes.SERVICE_UNAVAILABLE, "text/plain",
             "no room for more connections; try again later\n");
 
     private final NodeConfig config;
     private final BrokerConfig broker;
-    private final List<Undertow> servers = new ArrayList<>();
+    private final List<AcceptingChannel<StreamConnection>> servers = new ArrayList<>();
     private final Connections connections;
     private XnioWorker worker;
     private PlatformFront front;
     private Flows flows;
+    private Discovery discovery;
 
     /** Broker: the second front's configuration, null if it is off. */
     Node(NodeConfig config, BrokerConfig broker) {
@@ -70,7 +83,7 @@
         this.connections = new Connections(share(config));
     }
 
-    void start() throws IOException {
+    synchronized void start() throws IOException {
         Settings settings = config.settings();
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
@@ -80,16 +93,17 @@
         TargetPool targets = new TargetPool(thread, timers, new TargetPool.Limits(settings.connections().timeout(),
                 settings.connections().idle(), SILENCE, PROBE, share(config), settings.reportFields()));
         Flows[] core = new Flows[1];
-        Discovery discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(),
+        discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(),
                 (kind, list) -> core[0].listed(listed(kind, list, targets)));
         flows = new Flows(settings, config.seed(), Choice::new, new Mailbox(thread, MAILBOX), timers, targets, discovery);
         core[0] = flows;
         discovery.known(config.known() == null ? new MemberList(0, true, List.of()) : config.known());
         BodyReader bodies = new BodyReader();
-        front = new PlatformFront(flows, bodies, settings, !messageKinds().isEmpty());
+        OpenIds ids = new OpenIds();
+        front = new PlatformFront(flows, bodies, ids, settings, !messageKinds().isEmpty());
         listen(config.listen(), front);
         if (broker != null) {
-            listen(broker.listen(), new MessagesFront(flows, bodies, settings, broker.contracts(), timers,
+            listen(broker.listen(), new MessagesFront(flows, bodies, ids, settings, broker.contracts(), timers,
                     flowLog(thread, timers)));
         }
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
@@ -102,7 +116,7 @@
 
     /** Where the platform's front (0) or the broker's (1) listens. */
     InetSocketAddress address(int which) {
-        return (InetSocketAddress) servers.get(which).getListenerInfo().get(0).getAddress();
+        return servers.get(which).getLocalAddress(InetSocketAddress.class);
     }
 
     /** Flows that are not over, or whose forward is still out. */
@@ -110,22 +124,27 @@
         return flows.open();
     }
 
-    private void listen(InetSocketAddress address, HttpHandler handler) {
-        Undertow server = Undertow.builder().setWorker(worker).setByteBufferPool(new DefaultByteBufferPool(true, BUFFER, 256, 0))
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 1L << 20)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, share(config) + SPARE)
-                .setSocketOption(Options.CONNECTION_LOW_WATER, share(config) + SPARE - 8)
-                .addHttpListener(address.getPort(), address.getHostString())
-                .setHandler(exchange -> {
-                    if (connections.serving(exchange)) {
-                        handler.handleRequest(exchange);
-                    } else {
-                        ClientExchange.write(exchange, NO_ROOM, SECOND);
-                    }
-                }).build();
-        server.start();
+    private void listen(InetSocketAddress address, HttpHandler handler) throws IOException {
+        HttpOpenListener reader = new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER, 256, 0), OptionMap.builder()
+                .set(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD).set(UndertowOptions.MAX_HEADERS, MOST_HEADERS)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS).set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
+                .getMap());
+        reader.setRootHandler(exchange -> {
+            String fault = Heads.fault(exchange);
+            if (fault != null) {
+                exchange.setPersistent(false);
+                ClientExchange.write(exchange, new Replies.Reply(StatusCodes.BAD_REQUEST, "text/plain", fault + "\n"), 0);
+            } else if (connections.serving(exchange)) {
+                handler.handleRequest(exchange);
+            } else {
+                ClientExchange.write(exchange, NO_ROOM, SECOND);
+            }
+        });
+        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(address,
+                ChannelListeners.openListenerAdapter((StreamConnection c) -> connections.accept(c, reader)),
+                OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.BACKLOG, BACKLOG).getMap());
+        server.resumeAccepts();
         servers.add(server);
     }
 
@@ -147,6 +166,9 @@
         if (list == null) {
             return new Balancer.Listed(kind, 0, List.of());
         }
+        if (list.complete()) {
+            targets.keep(list.members().stream().map(Member::number).collect(Collectors.toSet()));
+        }
         List<Balancer.Replica> replicas = new ArrayList<>();
         for (Member member : list.members()) {
             targets.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.phase(),
@@ -158,13 +180,18 @@
         return new Balancer.Listed(kind, list.revision(), replicas);
     }
 
+    /** SIGHUP: the list comes from where the new configuration says; all else stays as the node was started. */
+    synchronized void reload(NodeConfig read) {
+        discovery.move(read.discovery());
+    }
+
     /** SIGTERM: takes what still comes for a moment, answers all that was taken, and ends. */
     void drain() {
         front.drain();
         connections.drain();
         try {
             Thread.sleep(STILL_ACCEPTED_MS);
-            servers.forEach(Undertow::stop);
+            servers.forEach(IoUtils::safeClose);
             while (connections.closeIdle() > 0 || flows.open() > 0) {
                 Thread.sleep(20);
             }
@@ -175,7 +202,7 @@
 
     /** Ends at once, whatever is being served. */
     void stop() {
-        servers.forEach(Undertow::stop);
+        servers.forEach(IoUtils::safeClose);
         worker.shutdownNow();
     }
 }
--- a/src/main/java/fawnlb/client/ClientExchange.java
+++ b/src/main/java/fawnlb/client/ClientExchange.java
@@ -5,6 +5,7 @@
 import fawnlb.flow.Flows;
 import fawnlb.flow.Listener;
 import fawnlb.flow.Source;
+import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.connector.PooledByteBuffer;
@@ -43,7 +44,9 @@
         ticket = taken;
         // Undertow does not read while a request is being served, and would not see its client leave.
         connection.getChannel().getSourceChannel().setReadListener(c -> readable());
-        connection.getOriginalSourceConduit().resumeReads();
+        if (connection.getExtraBytes() == null) {
+            connection.getOriginalSourceConduit().resumeReads();
+        }
         serving = connection.getAttachment(SERVING);
         if (serving == null) {
             serving = new Serving();
@@ -79,8 +82,9 @@
     }
 
     private void readable() {
-        if (done) {
-            // The answer is still on its way out; what comes meanwhile must not call us again and again.
+        if (done || connection.getExtraBytes() != null) {
+            // What comes while the answer is still on its way out must not call us again and again, and what
+            // comes behind a request that waits its turn must not be put before it.
             connection.getOriginalSourceConduit().suspendReads();
             return;
         }
@@ -123,10 +127,8 @@
             source = from;
             exchange.setStatusCode(replies.servedStatus());
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, replies.servedType());
-            if (exchange.isHttp11()) {
-                // Undertow sends no chunks on a connection that is to close: a cut stream would look whole.
-                exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
-            }
+            // Undertow sends no chunks on a connection that is to close: a cut stream would look whole.
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
             channel = exchange.getResponseChannel();
             channel.getWriteSetter().set(c -> write());
             source.into(this);
@@ -207,6 +209,11 @@
 
     /** Sends a fixed response; with a time to come back if one is given, in nanoseconds. */
     public static void write(HttpServerExchange exchange, Replies.Reply reply, long retryAfter) {
+        if (!exchange.isRequestComplete()) {
+            // Undertow would first read all of a body that nobody wants, be it 60 MB.
+            exchange.setPersistent(false);
+            Connectors.terminateRequest(exchange);
+        }
         exchange.setStatusCode(reply.status());
         if (retryAfter > 0) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RetryAfter.seconds(retryAfter));
--- a/src/main/java/fawnlb/discovery/Discovery.java
+++ b/src/main/java/fawnlb/discovery/Discovery.java
@@ -29,8 +29,8 @@
     private final XnioIoThread thread;
     private final Timers timers;
     private final Mailbox mailbox;
-    private final InetSocketAddress address;
     private final BiConsumer<ListKind, MemberList> subscriber;
+    private InetSocketAddress address;
     private long revision;
     private Watch watch;
 
@@ -52,17 +52,35 @@
         });
     }
 
-    @Override
-    public void subscribe() {
+    /**
+     * From here on the list comes from another address. A watch goes over at once, whether it lives or waits to
+     * be opened again: what changes from now on counts as told soon, and the old address says nothing of it.
+     */
+    public void move(InetSocketAddress to) {
         mailbox.tell(() -> {
-            if (watch != null) {
-                watch.drop();
+            if (!to.equals(address)) {
+                LOG.info("discovery moves from " + address + " to " + to);
+                address = to;
+                if (watch != null) {
+                    watchAgain();
+                }
             }
-            watch = new Watch("/registry/instances?watch=1&from=" + revision, true);
-            watch.begin();
         });
     }
 
+    @Override
+    public void subscribe() {
+        mailbox.tell(this::watchAgain);
+    }
+
+    private void watchAgain() {
+        if (watch != null) {
+            watch.drop();
+        }
+        watch = new Watch("/registry/instances?watch=1&from=" + revision, true);
+        watch.begin();
+    }
+
     @Override
     public void fetch() {
         mailbox.tell(() -> new Watch("/registry/instances", false).begin());
@@ -74,7 +92,8 @@
             // Changes older than what is held would undo newer ones: ask again for all that came since.
             throw new IOException("revision " + list.revision() + " after " + revision);
         }
-        revision = Math.max(revision, list.revision());
+        // A whole list stands for itself: a service that starts anew, or one moved to, may count from lower.
+        revision = list.complete() && watching ? list.revision() : Math.max(revision, list.revision());
         subscriber.accept(list.complete() ? ListKind.FULL : ListKind.DELTA, list);
     }
 
--- a/src/main/java/fawnlb/flow/Flows.java
+++ b/src/main/java/fawnlb/flow/Flows.java
@@ -80,6 +80,7 @@
         Targets.Forward forward;
         Timers.Timer stop;
         boolean streaming;
+        boolean rejected;
 
         Out(int number, long target, long sentAt) {
             this.number = number;
@@ -236,6 +237,11 @@
                         mailbox.tell(() -> Flows.this.started(flow, out, source));
                     }
 
+                    @Override
+                    public void rejected(Source source) {
+                        mailbox.tell(() -> Flows.this.rejected(flow, out, source));
+                    }
+
                     @Override
                     public void ended(Outcome outcome, long kept, List<Double> load) {
                         mailbox.tell(() -> Flows.this.ended(flow, out, outcome, kept, load));
@@ -257,6 +263,20 @@
         flow.listener.streaming(source);
     }
 
+    /** Neither the target's merit nor its failure: to the module, the client has taken its request back. */
+    private void rejected(Flow flow, Out out, Source source) {
+        if (flow.out != out || flow.over) {
+            return;
+        }
+        out.streaming = true;
+        out.rejected = true;
+        out.stop.cancel();
+        flow.over = true;
+        flow.lastCall.cancel();
+        tell(new Balancer.ClientGone(flow.id));
+        flow.listener.streaming(source);
+    }
+
     private void ended(Flow flow, Out out, Outcome outcome, long kept, List<Double> load) {
         if (flow.out != out) {
             return;
@@ -266,6 +286,7 @@
         out.stop.cancel();
         boolean over = flow.over;
         forget(flow);
-        tell(new Balancer.Ended(flow.id, out.number, out.target, outcome, over, timers.now() - out.sentAt, kept, load));
+        Outcome told = out.rejected ? Outcome.CANCELLED : outcome;
+        tell(new Balancer.Ended(flow.id, out.number, out.target, told, over, timers.now() - out.sentAt, kept, load));
     }
 }
--- a/src/main/java/fawnlb/flow/Targets.java
+++ b/src/main/java/fawnlb/flow/Targets.java
@@ -21,6 +21,9 @@
     interface Report {
         void started(Source source);
 
+        /** Instead of its start: the target finds the request itself wrong, as every target would. */
+        void rejected(Source source);
+
         void ended(Outcome outcome, long kept, List<Double> load);
     }
 
--- a/src/main/java/fawnlb/http/Connection.java
+++ b/src/main/java/fawnlb/http/Connection.java
@@ -20,10 +20,15 @@
     /** What one read brings is copied out before the next, so a thread needs only one. */
     private static final ThreadLocal<ByteBuffer> READ = ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(READ_SIZE));
 
+    /** So long a head may take from its first byte to its end. */
+    private static final long HEAD = 500_000_000;
+
     private final StreamConnection channel;
+    private final Timers timers;
     private ByteBuffer request;
     private ResponseParser parser;
     private Call call;
+    private Timers.Timer headTimer;
     private boolean headTold;
     private boolean closed;
 
@@ -47,8 +52,9 @@
         void opened(Connection connection);
     }
 
-    private Connection(StreamConnection channel) {
+    private Connection(StreamConnection channel, Timers timers) {
         this.channel = channel;
+        this.timers = timers;
         channel.getSourceChannel().setReadListener(c -> readable());
         channel.getSinkChannel().setWriteListener(c -> writable());
         channel.getSourceChannel().resumeReads();
@@ -63,13 +69,13 @@
         Timers.Timer timer = timers.after(timeout, future::cancel);
         future.addNotifier((f, none) -> thread.execute(() -> {
             timer.cancel();
-            opened.opened(f.getStatus() == IoFuture.Status.DONE ? done(f) : null);
+            opened.opened(f.getStatus() == IoFuture.Status.DONE ? done(f, timers) : null);
         }), null);
     }
 
-    private static Connection done(IoFuture<? extends StreamConnection> future) {
+    private static Connection done(IoFuture<? extends StreamConnection> future, Timers timers) {
         try {
-            return new Connection(future.get());
+            return new Connection(future.get(), timers);
         } catch (IOException e) {
             return null;
         }
@@ -79,7 +85,25 @@
         return !closed && channel.isOpen();
     }
 
+    /**
+     * Whether a request can be sent on it, between two calls. What has come unasked by then, a second answer to
+     * the call before or the other side's close, would be taken for the next call's answer.
+     */
+    public boolean isUsable() {
+        if (isOpen()) {
+            try {
+                if (channel.getSourceChannel().read(READ.get().clear()) != 0) {
+                    close();
+                }
+            } catch (IOException e) {
+                close();
+            }
+        }
+        return isOpen();
+    }
+
     public void close() {
+        forgetHead();
         closed = true;
         call = null;
         IoUtils.safeClose(channel);
@@ -145,13 +169,30 @@
             ByteBuffer body = ByteBuffer.allocate(n);
             parser.feed(in, body);
             body.flip();
+            expectHead();
             tell(body);
         } catch (IOException e) {
             finish(false);
         }
     }
 
-    private void tell(ByteBuffer body) throws IOException {
+    /** A head comes in one piece or soon after; one that begins and does not end would hold its call for long. */
+    private void expectHead() {
+        if (parser.head() != null) {
+            forgetHead();
+        } else if (headTimer == null) {
+            headTimer = timers.after(HEAD, () -> finish(false));
+        }
+    }
+
+    private void forgetHead() {
+        if (headTimer != null) {
+            headTimer.cancel();
+            headTimer = null;
+        }
+    }
+
+    private void tell(ByteBuffer body) {
         if (parser.head() != null && !headTold) {
             headTold = true;
             call.head(parser.head());
@@ -173,9 +214,10 @@
         if (closed) {
             return;
         }
+        forgetHead();
         Call told = call;
         boolean written = request == null;
-        boolean reusable = whole && written && parser.head().keepAlive();
+        boolean reusable = whole && written && parser.head().keepAlive() && !parser.surplus();
         call = null;
         if (reusable) {
             channel.getSourceChannel().resumeReads();
--- /dev/null
+++ b/src/main/java/fawnlb/http/Heads.java
@@ -0,0 +1,58 @@
+package fawnlb.http;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import java.io.IOException;
+
+/** What both sides ask of a message's head. Undertow reads a request's; it takes more than a careful reader should. */
+public final class Heads {
+    private Heads() { }
+
+    /** What is wrong with a request's head, null if nothing is: then its length can be trusted. */
+    public static String fault(HttpServerExchange exchange) {
+        if (!exchange.isHttp11()) {
+            // HTTP/1.0 has no chunks: a stream that was cut off would look whole.
+            return "only HTTP/1.1 is spoken here";
+        }
+        for (HeaderValues header : exchange.getRequestHeaders()) {
+            if (!isToken(header.getHeaderName().toString())) {
+                return "a header's name is not a token";
+            }
+            for (String value : header) {
+                if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 0x7f)) {
+                    return "a header's value holds control characters";
+                }
+            }
+        }
+        return framingFault(exchange.getRequestHeaders().get(Headers.TRANSFER_ENCODING),
+                exchange.getRequestHeaders().get(Headers.CONTENT_LENGTH));
+    }
+
+    /** A request with both, or with two, may hide another in its body. */
+    private static String framingFault(HeaderValues coding, HeaderValues length) {
+        if (coding != null && (length != null || coding.size() > 1
+                || !coding.getFirst().equalsIgnoreCase("chunked"))) {
+            return "Transfer-Encoding: only 'chunked' is read, and alone";
+        }
+        if (length == null) {
+            return null;
+        }
+        try {
+            Content.length(length.getFirst());
+            return length.size() > 1 ? "more than one Content-Length" : null;
+        } catch (IOException e) {
+            return "Content-Length: " + e.getMessage();
+        }
+    }
+
+    /** Whether the name is one that a header can have. */
+    static boolean isToken(String name) {
+        return !name.isEmpty() && name.chars().allMatch(c -> c > ' ' && c < 0x7f && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
+    }
+
+    /** Whether the header decides where the message ends. */
+    static boolean isFraming(String name) {
+        return name.equals("content-length") || name.equals("transfer-encoding");
+    }
+}
--- a/src/main/java/fawnlb/http/ResponseParser.java
+++ b/src/main/java/fawnlb/http/ResponseParser.java
@@ -12,47 +12,51 @@
  * descriptor for minutes.
  */
 final class ResponseParser {
-    private static final int LONGEST_LINE = 8192;
-    private static final int MOST_HEADERS = 100;
+    /** All heads of a response together, those of 1xx answers ahead of it too: a head that never ends is an error. */
+    private static final int LONGEST_HEADS = 16 * 1024;
+    private static final String VERSION = "HTTP/1.";
+    /** Targets send events of a few hundred bytes each; one chunk of gigabytes is noise. */
+    private static final long LARGEST_CHUNK = 1 << 20;
 
-    private enum State { STATUS, HEADER, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, TO_CLOSE, DONE }
-
-    private State state = State.STATUS;
-    private final StringBuilder line = new StringBuilder();
+    private final Lines lines = new Lines(LONGEST_HEADS);
+    private Map<String, String> headers = new HashMap<>();
+    private boolean statusRead;
     private int status;
     private boolean keepAlive;
-    private Map<String, String> headers = new HashMap<>();
-    private long left;
     private Response head;
+    private Content content;
+    private boolean surplus;
 
     /** Reads on: body bytes go to {@code body}, which has room for all of {@code in}. */
     void feed(ByteBuffer in, ByteBuffer body) throws IOException {
-        while (in.hasRemaining() && state != State.DONE) {
-            switch (state) {
-                case FIXED, CHUNK, TO_CLOSE -> take(in, body);
-                default -> {
-                    String text = line(in);
-                    if (text != null) {
-                        line(text);
-                    }
-                }
+        while (head == null && in.hasRemaining()) {
+            String line = lines.next(in);
+            if (line == null) {
+                checkBegun();
+            } else if (statusRead) {
+                header(line);
+            } else {
+                status(line);
             }
         }
-        if (state == State.DONE && in.hasRemaining()) {
-            throw new IOException("bytes after the response");
+        if (head != null) {
+            content.feed(in, body);
+            surplus |= content.done() && in.hasRemaining();
         }
     }
 
     /** The other side sent its last byte: true if the response is whole. */
     boolean eof() {
-        if (state == State.TO_CLOSE) {
-            state = State.DONE;
-        }
-        return done();
+        return content != null && content.eof();
     }
 
     boolean done() {
-        return state == State.DONE;
+        return content != null && content.done();
+    }
+
+    /** Bytes came behind the response. They belong to no request, so the connection can't be used again. */
+    boolean surplus() {
+        return surplus;
     }
 
     /** Status and headers, once read; else null. */
@@ -60,50 +64,11 @@
         return head;
     }
 
-    private void take(ByteBuffer in, ByteBuffer body) {
-        int n = (int) Math.min(in.remaining(), state == State.TO_CLOSE ? Long.MAX_VALUE : left);
-        int end = in.limit();
-        body.put(in.limit(in.position() + n));
-        in.limit(end);
-        left -= n;
-        if (state != State.TO_CLOSE && left == 0) {
-            state = state == State.FIXED ? State.DONE : State.CHUNK_END;
-        }
-    }
-
-    private String line(ByteBuffer in) throws IOException {
-        while (in.hasRemaining()) {
-            char c = (char) (in.get() & 0xff);
-            if (c == '\n') {
-                boolean cr = line.length() > 0 && line.charAt(line.length() - 1) == '\r';
-                String text = line.substring(0, line.length() - (cr ? 1 : 0));
-                line.setLength(0);
-                return text;
-            }
-            if (line.length() >= LONGEST_LINE) {
-                throw new IOException("line of a response too long");
-            }
-            line.append(c);
-        }
-        return null;
-    }
-
-    private void line(String text) throws IOException {
-        switch (state) {
-            case STATUS -> status(text);
-            case HEADER -> header(text);
-            case CHUNK_SIZE -> {
-                int end = text.indexOf(';');
-                left = number((end < 0 ? text : text.substring(0, end)).trim(), 16);
-                state = left == 0 ? State.TRAILER : State.CHUNK;
-            }
-            case CHUNK_END -> {
-                if (!text.isEmpty()) {
-                    throw new IOException("chunk longer than its size");
-                }
-                state = State.CHUNK_SIZE;
-            }
-            default -> state = text.isEmpty() ? State.DONE : state;
+    /** Noise in place of a status line may hold no line's end: it is known by its first bytes. */
+    private void checkBegun() throws IOException {
+        String begun = lines.begun().toString();
+        if (!statusRead && !begun.startsWith(VERSION) && !VERSION.startsWith(begun)) {
+            throw new IOException("not a status line");
         }
     }
 
@@ -113,49 +78,50 @@
         }
         keepAlive = text.startsWith("HTTP/1.1");
         status = Integer.parseInt(text.substring(9, 12));
-        state = State.HEADER;
+        statusRead = true;
     }
 
     private void header(String text) throws IOException {
         if (!text.isEmpty()) {
             int colon = text.indexOf(':');
-            if (colon <= 0 || headers.size() >= MOST_HEADERS) {
+            String name = colon < 0 ? "" : text.substring(0, colon).toLowerCase(Locale.ROOT);
+            if (!Heads.isToken(name)) {
                 throw new IOException("bad header");
             }
-            headers.put(text.substring(0, colon).toLowerCase(Locale.ROOT), text.substring(colon + 1).trim());
+            String value = text.substring(colon + 1).trim();
+            String before = headers.put(name, value);
+            if (before != null && !before.equals(value) && Heads.isFraming(name)) {
+                throw new IOException("two different headers " + name);
+            }
             return;
         }
         if (status < 200) {
             headers = new HashMap<>();
-            state = State.STATUS;
+            statusRead = false;
             return;
         }
         String connection = headers.getOrDefault("connection", "").toLowerCase(Locale.ROOT);
         keepAlive = keepAlive ? !connection.contains("close") : connection.contains("keep-alive");
-        String length = headers.get("content-length");
-        if (headers.getOrDefault("transfer-encoding", "").toLowerCase(Locale.ROOT).endsWith("chunked")) {
-            state = State.CHUNK_SIZE;
-        } else if (status == 204 || status == 304) {
-            state = State.DONE;
-        } else if (length != null) {
-            left = number(length, 10);
-            state = left == 0 ? State.DONE : State.FIXED;
-        } else {
-            keepAlive = false;
-            state = State.TO_CLOSE;
-        }
+        content = content();
         head = new Response(status, headers, keepAlive);
     }
 
-    private static long number(String text, int radix) throws IOException {
-        try {
-            long value = Long.parseLong(text, radix);
-            if (value >= 0 && text.charAt(0) != '+') {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // Told below, like a negative one.
+    private Content content() throws IOException {
+        String coding = headers.get("transfer-encoding");
+        String length = headers.get("content-length");
+        if (coding != null && (length != null || !coding.equalsIgnoreCase("chunked"))) {
+            throw new IOException("framing that can't be trusted");
+        }
+        if (status == 204 || status == 304) {
+            return Content.fixed(0);
+        }
+        if (coding != null) {
+            return Content.chunked(LARGEST_CHUNK);
+        }
+        if (length != null) {
+            return Content.fixed(Content.length(length));
         }
-        throw new IOException("not a length: " + text);
+        keepAlive = false;
+        return Content.toClose();
     }
 }
--- a/src/main/java/fawnlb/messages/MessagesFront.java
+++ b/src/main/java/fawnlb/messages/MessagesFront.java
@@ -3,9 +3,10 @@
 import fawnlb.Balancer.Settings;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
-import fawnlb.client.BodyReader;
+import fawnlb.http.BodyReader;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.Keys;
+import fawnlb.client.OpenIds;
 import fawnlb.client.Replies;
 import fawnlb.contract.Contract;
 import fawnlb.contract.Contracts;
@@ -35,15 +36,17 @@
 
     private final Flows flows;
     private final BodyReader bodies;
+    private final OpenIds ids;
     private final Settings settings;
     private final Contracts contracts;
     private final Timers timers;
     private final FlowLog log;
 
-    public MessagesFront(Flows flows, BodyReader bodies, Settings settings, Contracts contracts, Timers timers,
+    public MessagesFront(Flows flows, BodyReader bodies, OpenIds ids, Settings settings, Contracts contracts, Timers timers,
                          FlowLog log) {
         this.flows = flows;
         this.bodies = bodies;
+        this.ids = ids;
         this.settings = settings;
         this.contracts = contracts;
         this.timers = timers;
@@ -102,7 +105,7 @@
         record.team(contract.team());
         Prompt prompt;
         Ask ask;
-        Parcel.Tally tally = new Parcel.Tally();
+        Parcel.Tally tally = new Parcel.Tally(true);
         try {
             prompt = Prompt.read(dialect, body);
             ask = ask(exchange, contract, prompt, record, tally, body);
@@ -120,6 +123,10 @@
             refusal.say(StatusCodes.BAD_REQUEST, "the request is larger than the team's whole budget", 0);
             return;
         }
+        if (!ids.open(record.id(), exchange)) {
+            refusal.say(StatusCodes.CONFLICT, "X-Request-Id is that of an open request", 0);
+            return;
+        }
         long bookedAt = timers.now();
         long wait = contract.budget().book(bookedAt, wanted);
         if (wait > 0) {
--- a/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/src/main/java/fawnlb/platform/PlatformFront.java
@@ -1,10 +1,10 @@
 package fawnlb.platform;
 
-import fawnlb.Balancer.Outcome;
 import fawnlb.Balancer.Settings;
 import fawnlb.actor.Mailbox;
-import fawnlb.client.BodyReader;
+import fawnlb.http.BodyReader;
 import fawnlb.client.ClientExchange;
+import fawnlb.client.OpenIds;
 import fawnlb.client.Replies;
 import fawnlb.dialect.Dialect;
 import fawnlb.dialect.Prompt;
@@ -13,25 +13,28 @@
 import fawnlb.target.Parcel;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
 
 /** The platform's protocol for clients: a thin front of the core. */
-public final class PlatformFront implements HttpHandler, Replies {
+public final class PlatformFront implements HttpHandler {
     private static final int MAILBOX = 64;
     private static final long NO_ROOM_RETRY = 1_000_000_000;
 
     private final Flows flows;
     private final BodyReader bodies;
+    private final OpenIds ids;
     private final AskReader asks;
     private final boolean mixed;
     private volatile boolean draining;
 
     /** Mixed: some targets speak the other dialect, so that every request must be one that can be translated. */
-    public PlatformFront(Flows flows, BodyReader bodies, Settings settings, boolean mixed) {
+    public PlatformFront(Flows flows, BodyReader bodies, OpenIds ids, Settings settings, boolean mixed) {
         this.flows = flows;
         this.bodies = bodies;
+        this.ids = ids;
         this.asks = new AskReader(settings);
         this.mixed = mixed;
     }
@@ -60,19 +63,23 @@
 
     private void take(HttpServerExchange exchange, byte[] body) {
         Ask ask;
+        Parcel.Tally tally = new Parcel.Tally(false);
+        String id;
         try {
-            String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
-            if (id == null || id.isBlank()) {
-                throw new IllegalArgumentException("X-Request-Id is missing");
-            }
+            id = id(exchange);
             byte[] translated = mixed ? Prompt.read(Dialect.CHAT, body).write(Dialect.MESSAGES) : null;
-            ask = asks.read(exchange.getRequestHeaders()::getFirst,
-                    new Parcel(Dialect.CHAT, path(exchange), id, true, body, translated, null));
+            ask = asks.read(name -> one(exchange, name),
+                    new Parcel(Dialect.CHAT, path(exchange), id, true, body, translated, tally));
         } catch (IllegalArgumentException | Prompt.Bad e) {
             text(exchange, StatusCodes.BAD_REQUEST, e.getMessage());
             return;
         }
-        ClientExchange client = new ClientExchange(exchange, new Mailbox(exchange.getIoThread(), MAILBOX), this);
+        if (!ids.open(id, exchange)) {
+            text(exchange, StatusCodes.CONFLICT, "X-Request-Id is that of an open request");
+            return;
+        }
+        ClientExchange client = new ClientExchange(exchange, new Mailbox(exchange.getIoThread(), MAILBOX),
+                new PlatformReplies(tally));
         Flows.Ticket ticket = flows.take(ask, client);
         if (ticket == null) {
             client.refused(null, NO_ROOM_RETRY);
@@ -81,28 +88,29 @@
         }
     }
 
-    private static String path(HttpServerExchange exchange) {
-        String query = exchange.getQueryString();
-        return exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
-    }
-
-    @Override
-    public String servedType() {
-        return "text/event-stream";
+    private static String id(HttpServerExchange exchange) {
+        String id = one(exchange, "X-Request-Id");
+        if (id == null || !id.matches("[!-~]{1,128}")) {
+            throw new IllegalArgumentException("X-Request-Id: expected one, of up to 128 visible characters");
+        }
+        return id;
     }
 
-    @Override
-    public Reply refused(Outcome cause) {
-        return new Reply(StatusCodes.SERVICE_UNAVAILABLE, "text/plain", "refused; try again later\n");
+    /** A header's one value, null if it is missing; of two, a target might believe the other. */
+    private static String one(HttpServerExchange exchange, String name) {
+        HeaderValues values = exchange.getRequestHeaders().get(name);
+        if (values != null && values.size() > 1) {
+            throw new IllegalArgumentException(name + " is given more than once");
+        }
+        return values == null ? null : values.getFirst();
     }
 
-    @Override
-    public Reply failed(Outcome cause) {
-        return new Reply(cause == Outcome.TIMEOUT ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY, "text/plain",
-                "failed\n");
+    private static String path(HttpServerExchange exchange) {
+        String query = exchange.getQueryString();
+        return exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
     }
 
     private static void text(HttpServerExchange exchange, int status, String text) {
-        ClientExchange.write(exchange, new Reply(status, "text/plain", text + "\n"), 0);
+        ClientExchange.write(exchange, new Replies.Reply(status, "text/plain", text + "\n"), 0);
     }
 }
--- /dev/null
+++ b/src/main/java/fawnlb/platform/PlatformReplies.java
@@ -0,0 +1,30 @@
+package fawnlb.platform;
+
+import fawnlb.Balancer.Outcome;
+import fawnlb.client.Replies;
+import fawnlb.target.Parcel;
+import io.undertow.util.StatusCodes;
+
+/** The platform's words for one flow's answers. */
+record PlatformReplies(Parcel.Tally tally) implements Replies {
+    @Override
+    public String servedType() {
+        return tally.status() == StatusCodes.OK ? "text/event-stream" : "application/json";
+    }
+
+    @Override
+    public int servedStatus() {
+        return tally.status();
+    }
+
+    @Override
+    public Reply refused(Outcome cause) {
+        return new Reply(StatusCodes.SERVICE_UNAVAILABLE, "text/plain", "refused; try again later\n");
+    }
+
+    @Override
+    public Reply failed(Outcome cause) {
+        return new Reply(cause == Outcome.TIMEOUT ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY, "text/plain",
+                "failed\n");
+    }
+}
--- a/src/main/java/fawnlb/target/Parcel.java
+++ b/src/main/java/fawnlb/target/Parcel.java
@@ -7,18 +7,28 @@
 
 /**
  * A request as it goes to a target: path with query, id and body as the client sent them. {@code translated}:
- * the body in the other dialect, null where no target speaks it. {@code tally}: null if nobody wants one.
+ * the body in the other dialect, null where no target speaks it.
  */
 public record Parcel(Dialect dialect, String path, String id, boolean stream, byte[] body, byte[] translated,
                      Tally tally) implements Ask.Parcel {
 
     /** What a target's answer told of itself; belongs to the I/O thread. */
     public static final class Tally {
+        private final boolean counts;
         private Dialect spoken;
         private int status = 200;
         private int skipped;
         private long tokens;
 
+        /** Counts: someone wants to know of tokens and events, which costs reading them. */
+        public Tally(boolean counts) {
+            this.counts = counts;
+        }
+
+        boolean counts() {
+            return counts;
+        }
+
         void note(Dialect dialect, int unknown, long used) {
             spoken = dialect;
             skipped = unknown;
--- a/src/main/java/fawnlb/target/Target.java
+++ b/src/main/java/fawnlb/target/Target.java
@@ -25,6 +25,11 @@
      *  request written to one that is just being closed would count as a reset. */
     private static final double RETIRE = 0.85;
 
+    /** What is read of an answer that is not passed on, so that its connection can be used again: so many bytes
+     *  for so long. */
+    private static final int MOST_DISCARDED = 64 * 1024;
+    private static final long DISCARD = 250_000_000;
+
     /** What a target finds wrong with the request itself: it would with every target, and the client can mend it. */
     private static final Set<Integer> CLIENT_FAULTS = Set.of(400, 404, 413, 422);
 
@@ -99,7 +104,7 @@
         retire();
         while (!idle.isEmpty()) {
             Connection connection = idle.pollLast().connection();
-            if (connection.isOpen()) {
+            if (connection.isUsable()) {
                 return connection;
             }
             pool.socketClosed();
@@ -216,7 +221,10 @@
         private final Tail tail = new Tail();
         private Response head;
         private boolean streaming;
+        private boolean objects;
+        private boolean shown;
         private boolean complete;
+        private long discarded;
         private Sink sink;
         private ByteBuffer first;
         private Timers.Timer watchdog;
@@ -230,26 +238,55 @@
         @Override
         public void head(Response response) {
             head = response;
-            boolean fault = parcel.tally() != null && CLIENT_FAULTS.contains(response.status());
-            streaming = response.status() == 200 || fault;
+            objects = CLIENT_FAULTS.contains(response.status());
+            streaming = response.status() == 200 || objects;
             if (streaming) {
-                translation = dialect == parcel.dialect() ? null : fault
+                translation = dialect == parcel.dialect() ? null : objects
                         ? Translation.ofError(parcel.dialect(), response.status())
                         : new Translation(dialect, parcel.dialect(), parcel.stream());
-                witness = translation != null || fault || parcel.tally() == null ? null
+                witness = translation != null || objects || !parcel.tally().counts() ? null
                         : new Translation(dialect, dialect, parcel.stream());
-                if (fault) {
+                if (objects) {
                     parcel.tally().answers(response.status());
                 }
                 watch();
-                report.started(this);
+            } else {
+                watchdog = timers.after(DISCARD, () -> mailbox.tell(() -> stop(failure())));
             }
         }
 
+        /**
+         * Told with the first bytes for the client, not with the head: a stream that is spoilt before them has
+         * shown the client nothing, and its flow may still go elsewhere.
+         */
+        private void show() {
+            if (!shown) {
+                shown = true;
+                if (objects) {
+                    report.rejected(this);
+                } else {
+                    report.started(this);
+                }
+            }
+        }
+
+        /** The outcome of an answer that is none of the client's business. */
+        private Outcome failure() {
+            // By the messages interface's word, 429 and 529 are answers to requests that were not taken.
+            boolean notRun = head.header("x-not-run").equals("1")
+                    || dialect == Dialect.MESSAGES && (head.status() == 429 || head.status() == 529);
+            return notRun ? Outcome.FULL : Outcome.ERROR;
+        }
+
         @Override
         public void body(ByteBuffer bytes) {
             if (!streaming) {
-                connection.more();
+                discarded += bytes.remaining();
+                if (discarded > MOST_DISCARDED) {
+                    stop(failure());
+                } else {
+                    connection.more();
+                }
                 return;
             }
             try {
@@ -265,11 +302,13 @@
             if (!bytes.hasRemaining()) {
                 watch();
                 connection.more();
-            } else if (sink == null) {
+                return;
+            }
+            show();
+            unwatch();
+            if (sink == null) {
                 first = bytes;
-                unwatch();
             } else {
-                unwatch();
                 sink.chunk(bytes);
             }
         }
@@ -341,10 +380,11 @@
             if (witness != null && !parcel.stream()) {
                 finishWitness();
             }
-            // By the messages interface's word, 429 and 529 are answers to requests that were not taken.
-            boolean notRun = head.header("x-not-run").equals("1")
-                    || dialect == Dialect.MESSAGES && (head.status() == 429 || head.status() == 529);
-            finish(streaming ? Outcome.SERVED : notRun ? Outcome.FULL : Outcome.ERROR);
+            if (objects) {
+                show();
+            }
+            // A stream without a single event answers nothing, whole as it may be.
+            finish(shown ? Outcome.SERVED : failure());
         }
 
         private void finishWitness() {
@@ -357,6 +397,9 @@
 
         /** The last bytes of a translated answer; a sink that is not there yet gets them with its start. */
         private void rest(ByteBuffer bytes) {
+            if (bytes.hasRemaining()) {
+                show();
+            }
             if (bytes.hasRemaining() && sink != null) {
                 sink.chunk(bytes);
             } else if (bytes.hasRemaining()) {
@@ -368,7 +411,7 @@
         void ended(Outcome outcome) {
             unwatch();
             Translation read = translation != null ? translation : witness;
-            if (parcel.tally() != null && streaming) {
+            if (streaming) {
                 parcel.tally().note(dialect, read == null ? 0 : read.skipped(), read == null ? 0 : read.tokens());
             }
             String load = head == null ? "" : tail.load().isEmpty() ? head.header("x-load") : tail.load();
--- a/src/main/java/fawnlb/target/TargetPool.java
+++ b/src/main/java/fawnlb/target/TargetPool.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.xnio.XnioIoThread;
 
 /** All targets that the list has named, an actor each. */
@@ -45,6 +46,17 @@
         }
     }
 
+    /** Lets go of all others: a whole list names those that are gone by leaving them out. */
+    public void keep(Set<Long> listed) {
+        targets.entrySet().removeIf(entry -> {
+            boolean gone = !listed.contains(entry.getKey());
+            if (gone) {
+                entry.getValue().leave();
+            }
+            return gone;
+        });
+    }
+
     @Override
     public Forward forward(long id, Ask.Parcel parcel, long patience, Report report) {
         Target target = targets.get(id);
--- a/src/test/java/fawnlb/cli/JarIT.java
+++ b/src/test/java/fawnlb/cli/JarIT.java
@@ -99,6 +99,58 @@
         }
     }
 
+    /** A discovery that lists the one target, and keeps its watch open. */
+    private static StandIn discovery(int revision, StandIn target) throws IOException {
+        return new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + chunk("{\"revision\":" + revision + ",\"complete\":true,\"members\":["
+                    + Rigged.member(revision, target.address(), "c", "ready") + "]}\n"));
+            socket.getInputStream().read();
+        });
+    }
+
+    /** SIGHUP ends a Java program that does not handle it; here it moves the list, or changes nothing. */
+    @Test
+    public void aHangupMovesDiscoveryAndABadFileChangesNothing() throws Exception {
+        StandIn.Script stream = (request, socket) -> write(socket, head(200, CHUNKED) + chunk("data: a\n\n") + "0\r\n\r\n");
+        try (StandIn before = new StandIn(stream); StandIn after = new StandIn(stream);
+             StandIn first = discovery(2, before); StandIn second = discovery(1, after)) {
+            Path config = Rigged.file(Rigged.config("subscribe", first.address(), ""));
+            Process node = start("serve", "--config", config.toString());
+            try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
+                 Socket any = connect(log, "serves on")) {
+                Rigged.until("listed", () -> served(any.getPort(), before));
+                Files.writeString(config, "{\"name\": ");
+                hangup(node);
+                String line = log.readLine();
+                while (!line.contains("not reloaded")) {
+                    line = log.readLine();
+                }
+                assertTrue(served(any.getPort(), before));
+                Files.writeString(config, Rigged.config("subscribe", second.address(), ""));
+                hangup(node);
+                Rigged.until("moved", () -> served(any.getPort(), after));
+                assertTrue(second.requests.get(0).line().contains("watch=1"));
+                assertTrue(node.isAlive());
+            } finally {
+                node.destroyForcibly();
+            }
+        }
+    }
+
+    private static void hangup(Process node) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(node.pid())).start().waitFor());
+    }
+
+    private static boolean served(int port, StandIn by) {
+        int already = by.requests.size();
+        try (Socket socket = connect(port)) {
+            write(socket, Rigged.chat("id", 500));
+            return rest(socket).startsWith("HTTP/1.1 200") && by.requests.size() > already;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** What a node has taken before SIGTERM is answered whole, and the process then ends by itself. */
     @Test
     public void aPlannedEndAnswersWhatWasTaken() throws Exception {
--- a/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -336,7 +336,8 @@
         try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
             for (int i = 0; i < 64; i++) {
                 flood.add(rig.connect(0));
-                write(flood.get(i), "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 262144\r\n\r\nx");
+                write(flood.get(i), "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 262144\r\n\r\n"
+                        + "x".repeat(200_000));
             }
             until("refused", () -> answers(rig, "HTTP/1.1 503"));
             for (Socket socket : flood) {
--- /dev/null
+++ b/src/test/java/fawnlb/cli/RoughRulesTest.java
@@ -0,0 +1,303 @@
+package fawnlb.cli;
+
+import static fawnlb.cli.Rigged.chat;
+import static fawnlb.cli.Rigged.post;
+import static fawnlb.cli.Rigged.until;
+import static fawnlb.cli.StandIn.CHUNKED;
+import static fawnlb.cli.StandIn.EMPTY;
+import static fawnlb.cli.StandIn.chunk;
+import static fawnlb.cli.StandIn.head;
+import static fawnlb.cli.StandIn.write;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.Test;
+
+/** Clients that send what can't be read, and targets whose streams come spoilt, on real sockets. */
+public class RoughRulesTest {
+    private static final String PATH = "/v1/chat/completions";
+    private static final String EVENT = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+    private static final String STREAM = head(200, CHUNKED) + chunk(EVENT) + "0\r\n\r\n";
+    private static final String ID = "X-Request-Id: i\r\nX-Class: chat\r\n";
+    private static final String START = "POST " + PATH + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + ID;
+
+    /** An error or a close, and soon: nothing of it may reach a target, or be answered as though it had run. */
+    @Test
+    public void whatCannotBeReadGetsAnErrorOrACloseWithinThreeSeconds() throws Exception {
+        String[] cases = {
+            "GET / HTTP/1.1\r\nHost: x\r\nX: " + "x".repeat(100_000),
+            START + "X: y\r\n".repeat(100) + "Content-Length: 2\r\n\r\n{}",
+            START + "Content-Length: -2\r\n\r\n{}",
+            START + "Content-Length: +2\r\n\r\n{}",
+            START + "Content-Length: two\r\n\r\n{}",
+            START + "Content-Length: 2, 2\r\n\r\n{}",
+            START + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}",
+            START + "Content-Length: 2000000000\r\n\r\n{}",
+            START + "Content-Length: 99999999999999999999\r\n\r\n{}",
+            START + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            START + "Content-Length : 2\r\n\r\n{}",
+            START + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            START + "Transfer-Encoding: identity\r\n\r\n{}",
+            START + CHUNKED + "\r\nzz\r\n{}\r\n0\r\n\r\n",
+            START + CHUNKED + "\r\n-2\r\n{}\r\n0\r\n\r\n",
+            START + CHUNKED + "\r\n2\r\n{}}\r\n0\r\n\r\n",
+            START + CHUNKED + "\r\nfffffffff\r\n{}",
+            START + CHUNKED + "\r\n" + chunk("x".repeat(200_000)).repeat(2) + "0\r\n\r\n",
+            START.replace("1.1", "1.0") + "Content-Length: 2\r\n\r\n{}",
+            START + "X-Request-Id: j\r\nContent-Length: 2\r\n\r\n{}",
+            START + "X-Deadline-Ms: 10.5\r\nContent-Length: 2\r\n\r\n{}",
+            START + "X-Deadline-Ms: -1\r\nContent-Length: 2\r\n\r\n{}",
+            post(PATH, "{}", "X-Class: chat\r\n", "Connection: close\r\n"),
+            post(PATH, "{}", "X-Request-Id: i\r\n", "X-Class: none\r\n", "Connection: close\r\n"),
+            START + "Content-Length: 10\r\n\r\n{}",
+            START + "Content-Len", "\0\1\2\3\r\n\r\n", "", "P"};
+        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(target)) {
+            List<Socket> clients = new ArrayList<>();
+            long start = System.nanoTime();
+            for (String text : cases) {
+                Socket client = rig.connect(0);
+                clients.add(client);
+                sendAll(client, text);
+            }
+            for (int i = 0; i < cases.length; i++) {
+                String answer = rest(clients.get(i));
+                assertTrue(cases[i] + " -> " + answer, answer.isEmpty() || answer.matches("(?s)HTTP/1.[01] [45].*"));
+            }
+            assertTrue(System.nanoTime() - start < 3_000_000_000L);
+            assertEquals(0, target.requests.size());
+            assertTrue(rig.ask(0, chat("good", 3000)).startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /** The node may answer and close before it has read all. */
+    private static void sendAll(Socket client, String text) {
+        try {
+            write(client, text);
+        } catch (IOException e) {
+            // What it answered is still there to be read.
+        }
+    }
+
+    private static String rest(Socket client) throws IOException {
+        StringBuilder text = new StringBuilder();
+        try (client) {
+            for (int c = client.getInputStream().read(); c >= 0; c = client.getInputStream().read()) {
+                text.append((char) c);
+            }
+        } catch (java.net.SocketException e) {
+            // Reset, which is a close.
+        }
+        return text.toString();
+    }
+
+    @Test
+    public void aBodyInChunksInPiecesOrAfterContinueReachesItsTargetWhole() throws Exception {
+        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(target);
+             Socket client = rig.connect(0)) {
+            String start = "POST " + PATH + " HTTP/1.1\r\nHost: x\r\nX-Class: chat\r\nX-Request-Id: ";
+            write(client, start + "a\r\n" + CHUNKED + "\r\n" + chunk("{\"a\"") + "3;x=y\r\n:1}\r\n0\r\nTrailer: z\r\n\r\n");
+            until("chunks", () -> target.requests.size() == 1);
+            String slow = start + "b\r\nContent-Length: 5\r\n\r\n[1,2]";
+            // Behind the other's body, though its answer is not through yet.
+            for (int i = 0; i < slow.length(); i += 50) {
+                write(client, slow.substring(i, Math.min(slow.length(), i + 50)));
+            }
+            until("pieces", () -> target.requests.size() == 2);
+            write(client, start + "c\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\n");
+            StringBuilder seen = new StringBuilder();
+            while (!seen.toString().contains("100 Continue")) {
+                seen.append((char) client.getInputStream().read());
+            }
+            write(client, "{}");
+            String answer = seen + rest(client);
+            assertEquals(answer, 5, answer.split("HTTP/1.1 200|HTTP/1.1 100").length);
+            assertEquals(List.of("{\"a\":1}", "[1,2]", "{}"), target.requests.stream().map(StandIn.Request::body).toList());
+        }
+    }
+
+    /** Requests that come before the answer to the one ahead wait, and keep their order. */
+    @Test
+    public void requestsSentAheadAreAnsweredInOrder() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> {
+            go.await(10, TimeUnit.SECONDS);
+            write(socket, head(200, CHUNKED) + chunk("data: " + request.id() + "\n\n") + "0\r\n\r\n");
+        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+            String ahead = chat("id-1", 5000).replace("Connection: close\r\n", "");
+            write(client, ahead + ahead.replace("id-1", "id-2").substring(0, 40));
+            until("taken", () -> target.requests.size() == 1);
+            write(client, ahead.replace("id-1", "id-2").substring(40));
+            write(client, chat("id-3", 5000));
+            go.countDown();
+            String answer = rest(client);
+            assertTrue(answer, answer.matches("(?s).*data: id-1\n.*data: id-2\n.*data: id-3\n.*"));
+        }
+    }
+
+    /** A second request under an open id would be a second copy; after its end the id says nothing any more. */
+    @Test
+    public void theIdOfAnOpenRequestIsTurnedAway() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> {
+            go.await(10, TimeUnit.SECONDS);
+            write(socket, STREAM);
+        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+            write(client, chat("same", 5000));
+            until("taken", () -> target.requests.size() == 1);
+            assertTrue(rig.ask(0, chat("same", 5000)).startsWith("HTTP/1.1 409"));
+            go.countDown();
+            assertTrue(rest(client).startsWith("HTTP/1.1 200"));
+            until("free again", () -> answers(rig, "same", "HTTP/1.1 200"));
+        }
+    }
+
+    private static boolean answers(Rigged rig, String id, String start) {
+        try {
+            return rig.ask(0, chat(id, 3000)).startsWith(start);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Hundreds that connect and stay silent, or asked once and stay, must not keep out those who ask. */
+    @Test
+    public void silentConnectionsMakeRoomForThoseWhoAsk() throws Exception {
+        List<Socket> silent = new ArrayList<>();
+        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(target)) {
+            for (int i = 0; i < 300; i++) {
+                silent.add(rig.connect(0));
+            }
+            long start = System.nanoTime();
+            assertTrue(rig.ask(0, chat("id", 1000)).startsWith("HTTP/1.1 200"));
+            assertTrue(System.nanoTime() - start < 1_000_000_000L);
+            for (Socket socket : silent) {
+                assertEquals("", rest(socket));
+            }
+            assertTrue("closed in time", System.nanoTime() - start < 3_000_000_000L);
+        } finally {
+            for (Socket socket : silent) {
+                socket.close();
+            }
+        }
+    }
+
+    /** What a target finds wrong with the request itself is the client's to know, and no fault of the target's. */
+    @Test
+    public void aTargetsObjectionIsPassedOnAndBlamesNobody() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        try (StandIn target = new StandIn((request, socket) -> {
+            boolean good = request.id().equals("good");
+            asked.incrementAndGet();
+            write(socket, good ? STREAM : head(400, "Content-Length: 3\r\n") + "bad");
+        }); Rigged rig = Rigged.with(target)) {
+            for (int i = 0; i < 5; i++) {
+                String answer = rig.ask(0, chat("id-" + i, 3000));
+                assertTrue(answer, answer.startsWith("HTTP/1.1 400") && answer.contains("bad"));
+            }
+            assertTrue(rig.ask(0, chat("good", 3000)).startsWith("HTTP/1.1 200"));
+            assertEquals(6, asked.get());
+        }
+    }
+
+    /** Spoilt before its first event was passed on: a failed forward, and the flow goes elsewhere. */
+    @Test
+    public void aStreamSpoiltBeforeItsFirstEventIsAFailedForward() throws Exception {
+        String[] spoilt = {"\u0001\u0002noise without a line's end", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nX: " + "y".repeat(70_000),
+            "HTTP/1.1 200 OK\r\nX: y", head(200, CHUNKED) + "xyz\r\n", head(200, CHUNKED) + "c0000000\r\n" + "x".repeat(50_000),
+            head(200, CHUNKED) + "2\r\nabcd\r\n", head(200, CHUNKED) + "0\r\n\r\n", head(200, CHUNKED, "Content-Length: 3\r\n") + "abc"};
+        for (String answer : spoilt) {
+            AtomicInteger tries = new AtomicInteger();
+            StandIn.Script script = (request, socket) -> {
+                write(socket, tries.getAndIncrement() == 0 ? answer : STREAM);
+                socket.getInputStream().read();
+            };
+            try (StandIn one = new StandIn(script); StandIn two = new StandIn(script); Rigged rig = Rigged.with(one, two)) {
+                long start = System.nanoTime();
+                String got = rig.ask(0, chat("id", 4000));
+                assertTrue(answer + " -> " + got, got.startsWith("HTTP/1.1 200") && got.endsWith("0\r\n\r\n"));
+                assertEquals(2, tries.get());
+                assertTrue(System.nanoTime() - start < 2_000_000_000L);
+            }
+        }
+    }
+
+    /** Spoilt later: nothing of the noise reaches the client, and its connection ends without a last chunk. */
+    @Test
+    public void aStreamSpoiltLaterEndsPromptlyWithoutALastChunk() throws Exception {
+        for (String noise : new String[] {"xyz\r\n", "c0000000\r\n" + "x".repeat(50_000), "ffffffffffffffffffff\r\n", "2\r\nabcd\r\n"}) {
+            CountDownLatch go = new CountDownLatch(1);
+            try (StandIn target = new StandIn((request, socket) -> {
+                write(socket, head(200, CHUNKED) + chunk(EVENT));
+                go.await(10, TimeUnit.SECONDS);
+                write(socket, noise);
+                socket.getInputStream().read();
+            }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+                write(client, chat("id", 1000));
+                while (!StandIn.line(client.getInputStream()).startsWith("data: ")) {
+                    assertEquals(1, go.getCount());
+                }
+                long start = System.nanoTime();
+                go.countDown();
+                String answer = rest(client);
+                assertFalse(answer, answer.contains("0\r\n\r\n") || answer.contains("x") || answer.contains("abcd"));
+                assertTrue(System.nanoTime() - start < 2_000_000_000L);
+            }
+        }
+    }
+
+    /** More than belongs to a good stream: the stream is whole, and the rest is no answer to the next request. */
+    @Test
+    public void whatComesBesidesAGoodStreamChangesNothing() throws Exception {
+        try (StandIn target = new StandIn((request, socket) -> write(socket, "HTTP/1.1 100 Continue\r\n\r\n"
+                + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head(200, CHUNKED, "X-Load: ???\r\n")
+                + chunk("data: " + request.id() + "\n\n") + chunk(": X-Load: TEXT queue=\n\n") + "0\r\n\r\n"
+                + head(200, CHUNKED) + chunk("data: second\n\n") + "0\r\n\r\n")); Rigged rig = Rigged.with(target)) {
+            for (int i = 0; i < 5; i++) {
+                String answer = rig.ask(0, chat("id-" + i, 3000));
+                assertTrue(answer, answer.startsWith("HTTP/1.1 200") && answer.contains("data: id-" + i + "\n\n")
+                        && !answer.contains("second") && answer.endsWith("0\r\n\r\n"));
+            }
+            assertEquals(5, target.connections.get());
+        }
+    }
+
+    /** A refusal's status is known with its head; a body without end must not hold the flow up. */
+    @Test
+    public void anErrorWhoseBodyDoesNotEndIsKnownByItsHead() throws Exception {
+        try (StandIn target = new StandIn((request, socket) -> {
+            write(socket, head(503, "X-Not-Run: 1\r\n", "Content-Length: 9000000000\r\n") + "x");
+            socket.getInputStream().read();
+        }); StandIn other = new StandIn((request, socket) -> write(socket, head(500, EMPTY)));
+             Rigged rig = Rigged.with(target, other)) {
+            long start = System.nanoTime();
+            assertTrue(rig.ask(0, chat("id", 4000)).startsWith("HTTP/1.1 503"));
+            assertTrue(System.nanoTime() - start < 2_000_000_000L);
+        }
+    }
+
+    /** A list told whole names those that are gone by leaving them out; their connections must not stay. */
+    @Test
+    public void aTargetLeftOutOfAWholeListIsLetGoOf() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM));
+             StandIn discovery = new StandIn((request, socket) -> {
+                 write(socket, head(200, CHUNKED));
+                 told.await(10, TimeUnit.SECONDS);
+                 write(socket, chunk("{\"revision\":9,\"complete\":true,\"members\":[]}\n"));
+                 socket.getInputStream().read();
+             }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(),
+                     Rigged.member(1, target.address(), "c", "ready")), null)) {
+            assertTrue(rig.ask(0, chat("id", 3000)).startsWith("HTTP/1.1 200"));
+            told.countDown();
+            until("closed", () -> target.closed.get() == 1);
+        }
+    }
+}
