--- a/src/main/java/fawnlb/cli/Node.java
+++ b/src/main/java/fawnlb/cli/Node.java
@@ -60,10 +60,12 @@
     /** A client's head may be so long and have so many headers, and takes so long at most. */
     private static final int LONGEST_HEAD = 16 * 1024;
     private static final int MOST_HEADERS = 64;
-    private static final int HEAD_MS = 1000;
+    private static final int HEAD_MS = 2000;
     /** A connection without a request may be closed after 2 s, and one that stays silent must be within 3 s. */
     private static final int IDLE_MS = 2300;
     private static final int BACKLOG = 1000;
+    /** Descriptors for jars, selectors, listeners, the list, the log and connections kept only to be refused. */
+    private static final int RESERVED = 48;
     private static final Replies.Reply NO_ROOM = new Replies.Reply(StatusCodes.SERVICE_UNAVAILABLE, "text/plain",
             "no room for more connections; try again later\n");
 
@@ -80,7 +82,7 @@
     Node(NodeConfig config, BrokerConfig broker) {
         this.config = config;
         this.broker = broker;
-        this.connections = new Connections(share(config));
+        this.connections = new Connections(clientShare(config));
     }
 
     synchronized void start() throws IOException {
@@ -91,7 +93,7 @@
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
         TargetPool targets = new TargetPool(thread, timers, new TargetPool.Limits(settings.connections().timeout(),
-                settings.connections().idle(), SILENCE, PROBE, share(config), settings.reportFields()));
+                settings.connections().idle(), SILENCE, PROBE, targetShare(config), settings.reportFields()));
         Flows[] core = new Flows[1];
         discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(),
                 (kind, list) -> core[0].listed(listed(kind, list, targets)));
@@ -109,9 +111,14 @@
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
 
-    /** A flow holds one connection on either side; what is left is for the list, the log and the process. */
-    private static int share(NodeConfig config) {
-        return config.sockets() * 42 / 100;
+    /** Clients hold a third of the descriptors for requests at most, and each flow has one forward out. */
+    private static int targetShare(NodeConfig config) {
+        return config.sockets() / 3;
+    }
+
+    /** All others but those of the process, for clients also keep connections on which they ask nothing. */
+    private static int clientShare(NodeConfig config) {
+        return config.sockets() - targetShare(config) - RESERVED;
     }
 
     /** Where the platform's front (0) or the broker's (1) listens. */
@@ -171,8 +178,8 @@
         }
         List<Balancer.Replica> replicas = new ArrayList<>();
         for (Member member : list.members()) {
-            targets.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.phase(),
-                    messageKinds().contains(member.kind()) ? Dialect.MESSAGES : Dialect.CHAT);
+            targets.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.upSinceMillis(),
+                    member.phase(), messageKinds().contains(member.kind()) ? Dialect.MESSAGES : Dialect.CHAT);
             replicas.add(new Balancer.Replica(member.number(), member.phase(), member.upSinceMillis() * 1_000_000,
                     member.size(), Math.max(0, config.settings().names().zones().indexOf(member.zone())), member.cell(),
                     Math.max(0, config.settings().names().kinds().indexOf(member.kind()))));
--- a/src/main/java/fawnlb/http/BodyReader.java
+++ b/src/main/java/fawnlb/http/BodyReader.java
@@ -30,7 +30,7 @@
     /** Every client at once with the largest body would be more than the heap. */
     private static final long MOST_HELD = 16L << 20;
     /** A client that stops half-way through its body is owed an error within 3 s of its connect. */
-    private static final long PATIENCE_MS = 1500;
+    private static final long PATIENCE_MS = 2000;
 
     private final AtomicLong room = new AtomicLong(MOST_HELD);
 
--- a/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/src/main/java/fawnlb/platform/PlatformFront.java
@@ -67,6 +67,9 @@
         String id;
         try {
             id = id(exchange);
+            if (body.length == 0) {
+                throw new IllegalArgumentException("the request has no body");
+            }
             byte[] translated = mixed ? Prompt.read(Dialect.CHAT, body).write(Dialect.MESSAGES) : null;
             ask = asks.read(name -> one(exchange, name),
                     new Parcel(Dialect.CHAT, path(exchange), id, true, body, translated, tally));
--- a/src/main/java/fawnlb/target/Target.java
+++ b/src/main/java/fawnlb/target/Target.java
@@ -34,6 +34,7 @@
     private static final Set<Integer> CLIENT_FAULTS = Set.of(400, 404, 413, 422);
 
     private final InetSocketAddress address;
+    private final long since;
     private final Dialect dialect;
     private final XnioIoThread thread;
     private final Timers timers;
@@ -45,9 +46,10 @@
 
     private record Idle(Connection connection, long since) { }
 
-    Target(InetSocketAddress address, Dialect dialect, XnioIoThread thread, Timers timers, Mailbox mailbox,
+    Target(InetSocketAddress address, long since, Dialect dialect, XnioIoThread thread, Timers timers, Mailbox mailbox,
            TargetPool.Limits limits, TargetPool pool) {
         this.address = address;
+        this.since = since;
         this.dialect = dialect;
         this.thread = thread;
         this.timers = timers;
@@ -56,8 +58,8 @@
         this.pool = pool;
     }
 
-    boolean is(InetSocketAddress other, Dialect speaks) {
-        return address.equals(other) && dialect == speaks;
+    boolean is(InetSocketAddress other, long started, Dialect speaks) {
+        return address.equals(other) && since == started && dialect == speaks;
     }
 
     Dialect dialect() {
@@ -121,6 +123,18 @@
         timers.after((long) (limits.idle() * RETIRE), () -> mailbox.tell(this::retire));
     }
 
+    boolean hasIdle() {
+        return !idle.isEmpty();
+    }
+
+    long idleSince() {
+        return idle.peek().since();
+    }
+
+    void closeOldestIdle() {
+        close(idle.poll().connection());
+    }
+
     private void retire() {
         while (!idle.isEmpty() && (!idle.peek().connection().isOpen()
                 || timers.now() - idle.peek().since() >= (long) (limits.idle() * RETIRE))) {
--- a/src/main/java/fawnlb/target/TargetPool.java
+++ b/src/main/java/fawnlb/target/TargetPool.java
@@ -8,6 +8,7 @@
 import fawnlb.flow.Ask;
 import fawnlb.flow.Targets;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,16 +34,19 @@
         this.limits = limits;
     }
 
-    /** Where a target listens, as the list says; one that is gone keeps the forwards it has. */
-    public void place(long id, InetSocketAddress address, Phase phase, Dialect dialect) {
+    /**
+     * Where a target listens, as the list says; one that is gone keeps the forwards it has. {@code since}: when it
+     * started. Idle connections from before that lead nowhere, and one to a machine that vanished does not say so.
+     */
+    public void place(long id, InetSocketAddress address, long since, Phase phase, Dialect dialect) {
         Target target = targets.get(id);
-        boolean changed = target != null && (phase == Phase.GONE || !target.is(address, dialect));
+        boolean changed = target != null && (phase == Phase.GONE || !target.is(address, since, dialect));
         if (changed) {
             targets.remove(id);
             target.leave();
         }
         if (phase != Phase.GONE && (target == null || changed)) {
-            targets.put(id, new Target(address, dialect, thread, timers, new Mailbox(thread, MAILBOX), limits, this));
+            targets.put(id, new Target(address, since, dialect, thread, timers, new Mailbox(thread, MAILBOX), limits, this));
         }
     }
 
@@ -77,7 +81,12 @@
         }
     }
 
+    /** Whether one more connection may be opened; idle ones to other targets make room. */
     boolean socketFree() {
+        if (sockets >= limits.sockets()) {
+            targets.values().stream().filter(Target::hasIdle).min(Comparator.comparingLong(Target::idleSince))
+                    .ifPresent(Target::closeOldestIdle);
+        }
         return sockets < limits.sockets();
     }
 
--- a/src/test/java/fawnlb/cli/JarIT.java
+++ b/src/test/java/fawnlb/cli/JarIT.java
@@ -26,7 +26,7 @@
 /** The jar as it is built, started as the deploy file starts it. */
 public class JarIT {
     private static Process start(String command, String... arguments) throws IOException {
-        Matcher line = Pattern.compile("(?m)^run = \"exec (.*) serve\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        Matcher line = Pattern.compile("(?m)^run = \"(?:[A-Z_]+=\\S+ )*exec (.*) serve\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
         assertTrue(line.find());
         List<String> words = new ArrayList<>(List.of(line.group(1).split(" ")));
         words.set(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
--- a/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -360,7 +360,8 @@
     /** A connection left unaccepted gets no answer at all; idle ones make room, and then refusals do. */
     @Test
     public void beyondItsConnectionsANodeClosesIdleOnesAndThenRefuses() throws Exception {
-        int most = 200 * 42 / 100;
+        int forwards = 200 / 3;
+        int most = 200 - forwards - 48;
         CountDownLatch go = new CountDownLatch(1);
         List<Socket> clients = new ArrayList<>();
         try (StandIn target = new StandIn((request, socket) -> {
@@ -369,9 +370,11 @@
         }); Rigged rig = Rigged.with(target)) {
             for (int i = 0; i < most; i++) {
                 clients.add(rig.connect(0));
-                write(clients.get(i), chat("id-" + i, 9000).replace("Connection: close\r\n", ""));
+                // Those that no forward can be had for are busy with a body that does not come.
+                String request = chat("id-" + i, 9000).replace("Connection: close\r\n", "");
+                write(clients.get(i), i < forwards ? request : request.substring(0, request.length() - 1));
             }
-            until("all busy", () -> target.requests.size() == most);
+            until("all busy", () -> target.requests.size() == forwards);
             String answer = rig.ask(0, chat("over", 9000));
             assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: 1\r\n"));
             go.countDown();
@@ -384,6 +387,43 @@
         }
     }
 
+    /** Idle connections to one target must not use up what a forward to another needs. */
+    @Test
+    public void idleConnectionsToTargetsMakeRoomForForwardsToOthers() throws Exception {
+        int forwards = 200 / 3;
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch drained = new CountDownLatch(1);
+        StandIn.Script script = (request, socket) -> {
+            go.await(10, TimeUnit.SECONDS);
+            write(socket, head(200, CHUNKED) + chunk(DONE) + "0\r\n\r\n");
+        };
+        List<Socket> clients = new ArrayList<>();
+        try (StandIn full = new StandIn(script); StandIn other = new StandIn(script);
+             StandIn discovery = new StandIn((request, socket) -> {
+                 write(socket, head(200, CHUNKED));
+                 drained.await(10, TimeUnit.SECONDS);
+                 write(socket, chunk("{\"revision\":2,\"complete\":false,\"members\":["
+                         + Rigged.member(1, full.address(), "c", "draining") + ","
+                         + Rigged.member(2, other.address(), "c", "ready") + "]}\n"));
+                 socket.getInputStream().read();
+             }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(),
+                     Rigged.member(1, full.address(), "c", "ready")), null)) {
+            for (int i = 0; i < forwards; i++) {
+                clients.add(rig.connect(0));
+                write(clients.get(i), chat("id-" + i, 9000));
+            }
+            until("all out", () -> full.requests.size() == forwards);
+            go.countDown();
+            until("all idle", () -> rig.node.open() == 0);
+            drained.countDown();
+            until("served by the other", () -> answers(rig, "HTTP/1.1 200") && !other.requests.isEmpty());
+        } finally {
+            for (Socket socket : clients) {
+                socket.close();
+            }
+        }
+    }
+
     /** A reader that stands still must stop the reading from the target, not fill memory. */
     @Test
     public void aSlowReaderHoldsItsTargetBack() throws Exception {
--- a/src/test/java/fawnlb/cli/RoughRulesTest.java
+++ b/src/test/java/fawnlb/cli/RoughRulesTest.java
@@ -57,7 +57,7 @@
             START + "X-Deadline-Ms: -1\r\nContent-Length: 2\r\n\r\n{}",
             post(PATH, "{}", "X-Class: chat\r\n", "Connection: close\r\n"),
             post(PATH, "{}", "X-Request-Id: i\r\n", "X-Class: none\r\n", "Connection: close\r\n"),
-            START + "Content-Length: 10\r\n\r\n{}",
+            START + "Content-Length: 10\r\n\r\n{}", START + "\r\n", START + "Content-Length: 0\r\n\r\n",
             START + "Content-Len", "\0\1\2\3\r\n\r\n", "", "P"};
         try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(target)) {
             List<Socket> clients = new ArrayList<>();
