--- a/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/src/test/java/fawnlb/flow/FlowsTest.java
@@ -172,6 +172,20 @@
         assertEquals(0, flows.open());
     }
 
+    /** Requests that targets object to must not make a target look failing, nor its answers look quick. */
+    @Test
+    public void aTargetsObjectionIsTheAnswerAndTellsTheModuleNothingOfTheTarget() {
+        take();
+        module.act(new Send(1, 7, 0));
+        reports.get(0).rejected(new Stream());
+        module.act(new Balancer.Cancel(1, 0));
+        reports.get(0).ended(Outcome.SERVED, 0, List.of());
+        assertEquals(List.of("forward 7", "streaming"), seen);
+        assertTrue(events.get(1) instanceof Balancer.ClientGone);
+        assertEquals(Outcome.CANCELLED, lastOutcome());
+        assertEquals(0, flows.open());
+    }
+
     @Test
     public void aClientThatLeavesIsOwedNothingAndItsForwardIsCalledOff() {
         for (boolean streaming : new boolean[] {false, true}) {
