Judge overload by the middle replica, give slow ones less, leave silent ones early

So it was the shedding: one figure for all replicas let a few slow ones look like an overload (Choice.judgeLoad, judgePace), and the pace rule compared with the first streams to end, which are the short ones. Changed: both figures are kept for each replica and the middle one counts; a replica whose first tokens lag, or that is silent to those that wait, has a smaller cap; a first attempt that may be repeated is stopped at half its aim while there is credit for a retry. A time-out with time left may now be tried again.

--- a/src/main/java/fawnlb/Choice.java
+++ b/src/main/java/fawnlb/Choice.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
 
 /**
  * All decisions of one router. The interface (settings, events, actions) is in Balancer.java.
@@ -44,7 +45,6 @@
         this.settings = settings;
         this.sink = sink;
         this.sent = settings.tenants().stream().mapToDouble(Tenant::share).toArray();
-        this.lateness = new double[Math.max(1, settings.classes().size())];
         this.typicalStream = new double[settings.classes().size()];
         this.streamsSeen = new int[settings.classes().size()];
         this.random = new SplittableRandom(mix(seed));
@@ -87,6 +87,12 @@
         long coldNextAt;
         int failures;
         long suspectUntil;
+        double lag;
+        double late;
+        double pace = 1;
+        int streams;
+        int waiting;
+        long waitingSince;
 
         Node(long id) {
             this.id = id;
@@ -292,7 +298,7 @@
             if (node.suspectUntil > now || node.cold && now < node.coldNextAt) {
                 continue;
             }
-            if (node.inFlight < limit) {
+            if (node.inFlight < capOf(node, limit, task)) {
                 if (task.attempts.isEmpty()) {
                     countSpill(fallback != null);
                 }
@@ -373,26 +379,65 @@
     }
 
     /**
-     * Overload: while first tokens come late, or attempts end full or timed out, more often than CALM, that
-     * part of the sessions is refused on arrival, in the order of their hash: the same ones at every router,
-     * so that the others keep their prompts. It ends as the answers come in time again.
+     * Slow replica: a count says nothing of how fast it shrinks, and a replica that has slowed down or fallen
+     * silent would hold as many requests as the others and answer them late. While its first tokens take more
+     * than SLOW times as long as usual, or it has said nothing for that long to those that wait, its cap
+     * shrinks in proportion, to one at least; it ends with the first tokens that come as usual again.
+     */
+    static final double SLOW = 2;
+    /** No lag below this part of a request's aim matters. */
+    static final double LEAST_LAG = 0.05;
+    private double usualLag;
+
+    private long capOf(Node node, long limit, Task task) {
+        double lag = Math.max(node.lag, node.waiting > 0 ? now - node.waitingSince : 0);
+        double bearable = SLOW * Math.max(usualLag, LEAST_LAG * task.aim);
+        return lag <= bearable ? limit : Math.max(1, (long) (limit * bearable / lag));
+    }
+
+    /** What is usual follows no single slow replica: a first token counts SLOW times the usual at most. */
+    private void judgeLag(Node node, double took) {
+        usualLag += usualLag == 0 ? took : (Math.min(took, SLOW * usualLag) - usualLag) / 64;
+        node.lag += (took - node.lag) / 8;
+    }
+
+    /** One attempt fewer waits for this replica's first token; a sign of life if the replica ended it. */
+    private void heard(Node node, boolean sign) {
+        node.waiting--;
+        node.waitingSince = sign ? now : node.waitingSince;
+    }
+
+    /**
+     * Overload: while first tokens come late, or attempts end full or timed out, more often than CALM at half
+     * of the replicas, that part of the sessions is refused on arrival, in the order of their hash: the same
+     * ones at every router, so that the others keep their prompts. It ends as the answers come in time again.
+     * A few replicas that are slow or out of reach are no overload: the others can serve what they can't.
      */
     static final double CALM = 0.1;
     /** Some sessions always pass: with none, no answer could show that the trouble is over. */
     static final double MOST_SHED = 0.9;
-    private final double[] lateness;
+    private double[] sorted = new double[0];
 
-    private void judgeLoad(Task task, boolean late) {
-        int type = index(task);
-        lateness[type] += ((late ? 1 : 0) - lateness[type]) / 32;
+    private static void judgeLoad(Node node, boolean late) {
+        node.late += ((late ? 1 : 0) - node.late) / 16;
     }
 
-    private int index(Task task) {
-        return Math.max(0, Math.min(lateness.length - 1, task.request.type()));
+    /** The middle one of the ready replicas' figures. */
+    private double middle(ToDoubleFunction<Node> figure) {
+        sorted = sorted.length < ready ? new double[ready] : sorted;
+        int n = 0;
+        for (Node node : nodes.values()) {
+            if (node.phase == Phase.READY && n < sorted.length) {
+                sorted[n++] = figure.applyAsDouble(node);
+            }
+        }
+        Arrays.sort(sorted, 0, n);
+        return n == 0 ? 0 : sorted[n / 2];
     }
 
     private boolean sheds(Task task) {
-        double part = Math.max(lateness[index(task)] - CALM, 1 - SLOW_STREAMS * bestPace / pace);
+        double slow = 1 - SLOW_STREAMS * bestPace / middle(n -> n.pace);
+        double part = Math.max(middle(n -> n.late) - CALM, slow);
         part *= claim(task.request.tenant());
         return part > 0 && (mix(task.session ^ 0x5ca1ab1eL) >>> 11) * 0x1p-53 < Math.min(MOST_SHED, part);
     }
@@ -421,34 +466,30 @@
     /**
      * Slow streams: with too many answers running, or kept prompts lost, tokens fall below their pace while
      * first tokens are still in time, and the state feeds itself. The length of an answer is not told, so
-     * whole streams are held against this router's own best stretch; above SLOW_STREAMS times that, so many
-     * sessions are refused as bring the streams back to it.
+     * whole streams of the middle replica are held against its own best stretch; above SLOW_STREAMS times
+     * that, so many sessions are refused as bring the streams back to it.
      */
-    static final double SLOW_STREAMS = 2.5;
+    static final double SLOW_STREAMS = 2.2;
     private static final int STREAMS = 64;
     private static final double LONGEST = 16;
     private final double[] typicalStream;
-    private double pace = 1;
-    private double bestPace = Double.MAX_VALUE;
-    private int streams;
     private final int[] streamsSeen;
+    private double bestPace = 1;
 
-    private void judgePace(Task task, double stream) {
+    private void judgePace(Node node, Task task, double stream) {
         int type = task.request.type();
         if (type < 0 || type >= typicalStream.length) {
             return;
         }
         int seen = ++streamsSeen[type];
-        if (seen <= STREAMS / 4) {
+        if (seen <= STREAMS) {
             typicalStream[type] += (stream - typicalStream[type]) / seen;
         }
-        streams++;
         double ratio = Math.min(LONGEST, stream / typicalStream[type]);
-        pace += (ratio - pace) / Math.min(streams, STREAMS);
-        if (streams == STREAMS / 2) {
-            bestPace = pace;
+        node.pace += (ratio - node.pace) / Math.min(++node.streams, 16);
+        if (seen > 2 * STREAMS) {
+            bestPace = Math.min(bestPace, middle(n -> n.pace));
         }
-        bestPace = Math.min(bestPace, pace);
     }
 
     /**
@@ -467,6 +508,8 @@
         node.readyAt = readyAt;
         node.failures = 0;
         node.suspectUntil = 0;
+        node.lag = 0;
+        node.late = 0;
         boolean isCold = readyAt > 0 && now - readyAt < settings.rules().cold();
         if (isCold && !node.cold) {
             coldNodes.add(node);
@@ -619,11 +662,27 @@
         task.attempts.add(new Attempt(node, now));
         task.out++;
         count(node, 1);
+        node.waitingSince = node.waiting++ == 0 ? now : node.waitingSince;
         if (node.cold) {
             node.coldNextAt = now + (long) coldGap(node, task.work);
         }
         countWork(task.work);
-        sink.act(new Send(task.request.id(), node.id, task.lastUse));
+        sink.act(new Send(task.request.id(), node.id, stopAt(task)));
+    }
+
+    /**
+     * Silent replica: one that vanished or was cut off answers nothing, and waiting for it to the end would
+     * cost the request. A first attempt that may be repeated is stopped while there is time to be in time
+     * elsewhere; not where first tokens take about so long now, nor without credit for a retry.
+     */
+    static final double PATIENCE = 0.5;
+    static final double UNUSUAL = 6;
+
+    private long stopAt(Task task) {
+        boolean early = task.type.effect() == Effect.SAFE && task.attempts.size() == 1
+                && retryCredit >= 1 && ready > 1;
+        double patience = Math.max(PATIENCE * task.aim, UNUSUAL * usualLag);
+        return early && patience < task.lastUse - now ? now + (long) patience : task.lastUse;
     }
 
     private void count(Node node, int change) {
@@ -672,8 +731,10 @@
         Attempt attempt = task.attempts.get(event.attempt());
         attempt.streaming = true;
         attempt.firstToken = event.took();
+        heard(attempt.node, true);
+        judgeLag(attempt.node, event.took());
         answered(attempt.node);
-        judgeLoad(task, event.took() > task.aim * 0.8);
+        judgeLoad(attempt.node, event.took() > task.aim * 0.8);
         close(task);
     }
 
@@ -691,12 +752,18 @@
         attempt.mayHaveRun = event.outcome().mayHaveRun();
         task.out--;
         count(node, -1);
+        if (!attempt.streaming) {
+            heard(node, event.outcome() != Outcome.TIMEOUT && event.outcome() != Outcome.CANCELLED);
+        }
+        if (event.outcome() == Outcome.TIMEOUT) {
+            judgeLag(node, event.took());
+        }
         judge(node, event.outcome());
         if (event.outcome() == Outcome.SERVED && attempt.streaming) {
-            judgePace(task, Math.max(1, event.took() - attempt.firstToken));
+            judgePace(node, task, Math.max(1, event.took() - attempt.firstToken));
         }
         if (event.outcome() == Outcome.TIMEOUT || event.outcome() == Outcome.FULL) {
-            judgeLoad(task, true);
+            judgeLoad(node, true);
         }
         if (event.over() || event.outcome() == Outcome.SERVED) {
             close(task);
@@ -711,7 +778,7 @@
     /** All attempts so far have failed: one more within the rules and the budget, else the final answer. */
     private void again(Task task, Outcome outcome) {
         boolean budget = retryCredit >= 1 && task.attempts.size() < settings.limits().attempts();
-        if (budget && outcome != Outcome.TIMEOUT && outcome != Outcome.CANCELLED && now < task.lastUse) {
+        if (budget && outcome != Outcome.CANCELLED && now < task.lastUse) {
             retryCredit--;
             place(task);
         } else {
--- a/src/test/java/fawnlb/ExceptionsTest.java
+++ b/src/test/java/fawnlb/ExceptionsTest.java
@@ -81,6 +81,52 @@
         return at50;
     }
 
+    /** One replica that slows down must neither keep its part of the load nor have sessions refused for it. */
+    @Test
+    void aSlowReplicaGetsLessAndNothingIsRefusedForIt() {
+        Rig rig = new Rig(Rig.safe()).ready(5);
+        int before = loadOn(rig, 3, 100 * MS);
+        int slow = loadOn(rig, 3, 3 * S);
+        int after = loadOn(rig, 3, 100 * MS);
+        assertTrue(slow < before / 2 && after > before / 2, before + ", slow " + slow + ", after " + after);
+        assertEquals(0, rig.all(Refuse.class).size());
+    }
+
+    /** How many of 600 requests replica {@code id} gets if its first tokens take so long; 20 are always out. */
+    private static int loadOn(Rig rig, long id, long firstToken) {
+        java.util.ArrayDeque<Send> out = new java.util.ArrayDeque<>();
+        int there = 0;
+        for (int i = 0; i < 600; i++) {
+            rig.now += 10 * MS;
+            rig.request(0, 50_000 + i);
+            Send send = rig.last();
+            there += send.replica() == id ? 1 : 0;
+            rig.started(send, 0, send.replica() == id ? firstToken : 100 * MS);
+            out.add(send);
+            if (out.size() > 20) {
+                rig.end(out.poll(), 0, Outcome.SERVED, true, 4 * S);
+            }
+        }
+        out.forEach(send -> rig.end(send, 0, Outcome.SERVED, true, 4 * S));
+        return there;
+    }
+
+    /** A replica that vanished says nothing: its request goes elsewhere while there is time to be in time. */
+    @Test
+    void aRequestLeavesASilentReplicaEarlyUnlessItMayNotBeRepeated() {
+        Rig rig = new Rig(Rig.safe()).ready(5);
+        rig.request(0, 8);
+        Send first = rig.last();
+        assertEquals(rig.now + S / 2, first.stopAt());
+        rig.now = first.stopAt();
+        rig.end(first, 0, Outcome.TIMEOUT, false, S / 2);
+        assertNotEquals(first.replica(), rig.last().replica());
+        assertEquals(rig.now + S / 2, rig.last().stopAt());
+        Rig unsafe = new Rig(Rig.settings(Balancer.Effect.UNSAFE, Balancer.Group.ALL)).ready(5);
+        unsafe.request(0, 8);
+        assertTrue(unsafe.last().stopAt() >= unsafe.now + S);
+    }
+
     @Test
     void lateFirstTokensShedTheSameSessionsAndTimelyOnesEndIt() {
         Rig rig = new Rig(Rig.safe()).ready(5);
