Start from a remembered list, believed as far as its age allows; class archive at start

Need: a node that started while discovery was down had an old list or none and believed it as if every target were warm, and a planned restart left its clients unserved for 1.9 s on half a core, most of it the JVM's start.

Change: the node moves into a Maven module of its own, the decision module into the package policy, and its interface into decision. Between list and module stands a chain of views. The first, the recorder, keeps the list on disk: CBOR with a CRC-32C, two generations, written off the I/O thread at a bounded rate. The second, probation, lets a remembered target hold only a few requests that wait for their first token until it has proved itself; how many are tried at once is the sum of the memories' weights, which halve with age. For this the module knows one thing more of a target, how many may wait there (3 lines of the policy). The build rehearses one start and records its classes.

--- a/src/main/java/fawnlb/cli/Main.java
+++ b/node/src/main/java/fawnlb/cli/Main.java
@@ -6,13 +6,18 @@
 import com.beust.jcommander.Parameters;
 import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
+import fawnlb.config.StartConfig;
+import fawnlb.decision.Balancer.Settings;
+import fawnlb.snapshot.SnapshotStore;
 import fawnlb.wire.WireHost;
 import java.io.BufferedInputStream;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +43,8 @@
         private String config = System.getenv("PROXY_CONFIG");
         @Parameter(names = "--broker", description = "the teams' contracts; without it the messages front is off")
         private String broker;
+        @Parameter(names = "--start", description = "how to start without discovery; without it nothing is remembered")
+        private String start;
 
         NodeConfig read() throws NodeConfig.Bad {
             if (config == null) {
@@ -62,13 +69,20 @@
         BrokerConfig broker() throws NodeConfig.Bad {
             return broker == null ? null : BrokerConfig.read(Path.of(broker));
         }
+
+        StartConfig start(Settings settings) throws NodeConfig.Bad {
+            return start == null ? StartConfig.none(settings) : StartConfig.read(Path.of(start), settings);
+        }
     }
 
     @Parameters(commandDescription = "Run one node until it is told to end")
     private static final class Serve extends Configured implements Command {
+        private Node node;
+
         @Override
         public void run() throws Exception {
-            Node node = new Node(read(), broker());
+            NodeConfig read = read();
+            node = new Node(read, broker(), start(read.settings()));
             Hangup.handle(() -> reload(node));
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
@@ -87,6 +101,22 @@
                 System.out.println("broker: listens on " + teams.listen() + ", " + teams.contracts().teams().size()
                         + " team(s)");
             }
+            StartConfig begin = start(read.settings());
+            System.out.println("start: " + (begin.snapshot() == null ? "nothing is remembered"
+                    : "the list is remembered in " + begin.snapshot()));
+        }
+    }
+
+    @Parameters(commandDescription = "Start a node, serve one request from a target of its own, and end")
+    private static final class Rehearse implements Command {
+        @Override
+        public void run() throws Exception {
+            Rehearsal.run(config -> {
+                Serve serve = (Serve) command("serve", "--config", config);
+                serve.run();
+                return serve.node;
+            });
+            System.exit(0);
         }
     }
 
@@ -99,6 +129,26 @@
         }
     }
 
+    @Parameters(commandDescription = "Print a remembered list: snapshot show FILE")
+    private static final class Remembers implements Command {
+        @Parameter(description = "show FILE")
+        private List<String> words = new ArrayList<>();
+
+        @Override
+        public void run() throws NodeConfig.Bad {
+            if (words.size() != 2 || !words.get(0).equals("show")) {
+                throw new NodeConfig.Bad("snapshot: expected 'show FILE'");
+            }
+            try {
+                SnapshotTable.print(SnapshotStore.read(Path.of(words.get(1))), System.currentTimeMillis(), System.out);
+            } catch (NoSuchFileException e) {
+                throw new NodeConfig.Bad(words.get(1) + ": no such file");
+            } catch (IOException e) {
+                throw new NodeConfig.Bad(words.get(1) + ": " + e.getMessage());
+            }
+        }
+    }
+
     @Parameters(commandDescription = "Print the version")
     private static final class Version implements Command {
         @Override
@@ -107,21 +157,26 @@
         }
     }
 
+    /** The sub-command that the words name, with its options read. */
+    private static Command command(String... words) {
+        JCommander line = JCommander.newBuilder().programName("java -jar fawnlb.jar").addCommand("serve", new Serve())
+                .addCommand("check", new Check()).addCommand("snapshot", new Remembers())
+                .addCommand("rehearse", new Rehearse()).addCommand("wirehost", new Wire())
+                .addCommand("version", new Version()).build();
+        line.parse(words);
+        if (line.getParsedCommand() == null) {
+            line.usage();
+            System.exit(WRONG);
+        }
+        return (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
+    }
+
     public static void main(String[] args) {
         if (System.getProperty(LOG_FORMAT) == null) {
             System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
         }
-        JCommander line = JCommander.newBuilder().programName("java -jar fawnlb.jar").addCommand("serve", new Serve())
-                .addCommand("check", new Check()).addCommand("wirehost", new Wire())
-                .addCommand("version", new Version()).build();
         try {
-            line.parse(args);
-            if (line.getParsedCommand() == null) {
-                line.usage();
-                System.exit(WRONG);
-            }
-            List<Object> commands = line.getCommands().get(line.getParsedCommand()).getObjects();
-            ((Command) commands.get(0)).run();
+            command(args).run();
         } catch (ParameterException | NodeConfig.Bad e) {
             System.err.println("fawnlb: " + e.getMessage());
             System.exit(WRONG);
--- a/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -1,8 +1,7 @@
 package fawnlb.cli;
 
-import fawnlb.Balancer;
-import fawnlb.Balancer.Settings;
-import fawnlb.Choice;
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.actor.IoTimers;
 import fawnlb.actor.Mailbox;
 import fawnlb.client.ClientExchange;
@@ -11,6 +10,7 @@
 import fawnlb.client.Replies;
 import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
+import fawnlb.config.StartConfig;
 import fawnlb.dialect.Dialect;
 import fawnlb.discovery.Discovery;
 import fawnlb.discovery.Member;
@@ -21,9 +21,15 @@
 import fawnlb.messages.FlowLog;
 import fawnlb.messages.MessagesFront;
 import fawnlb.platform.PlatformFront;
+import fawnlb.policy.Choice;
+import fawnlb.probation.Probation;
+import fawnlb.snapshot.Recorder;
+import fawnlb.snapshot.SnapshotStore;
 import fawnlb.syslog.SyslogRecord;
 import fawnlb.syslog.SyslogSender;
 import fawnlb.target.TargetPool;
+import fawnlb.view.View;
+import fawnlb.view.Views;
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
@@ -71,6 +77,7 @@
 
     private final NodeConfig config;
     private final BrokerConfig broker;
+    private final StartConfig start;
     private final List<AcceptingChannel<StreamConnection>> servers = new ArrayList<>();
     private final Connections connections;
     private XnioWorker worker;
@@ -78,10 +85,11 @@
     private Flows flows;
     private Discovery discovery;
 
-    /** Broker: the second front's configuration, null if it is off. */
-    Node(NodeConfig config, BrokerConfig broker) {
+    /** Broker: the second front's configuration, null if it is off. Start: what is remembered, and how it is believed. */
+    Node(NodeConfig config, BrokerConfig broker, StartConfig start) {
         this.config = config;
         this.broker = broker;
+        this.start = start;
         this.connections = new Connections(clientShare(config));
     }
 
@@ -94,12 +102,23 @@
         IoTimers timers = new IoTimers(thread);
         TargetPool targets = new TargetPool(thread, timers, new TargetPool.Limits(settings.connections().timeout(),
                 settings.connections().idle(), SILENCE, PROBE, targetShare(config), settings.reportFields()));
+        Remembered remembered = Remembered.read(start, config.known(), timers.now());
+        Recorder recorder = recorder(thread, timers, remembered);
+        List<View> views = new ArrayList<>(recorder == null ? List.of() : List.of(recorder));
+        if (!start.believed()) {
+            views.add(new Probation(start.probation(), config.seed(), remembered.heard(), LOG::info));
+        }
         Flows[] core = new Flows[1];
-        discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(),
-                (kind, list) -> core[0].listed(listed(kind, list, targets)));
-        flows = new Flows(settings, config.seed(), Choice::new, new Mailbox(thread, MAILBOX), timers, targets, discovery);
+        discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(), (kind, list) -> {
+            if (recorder != null) {
+                recorder.heard(kind, list);
+            }
+            core[0].listed(listed(kind, list, targets));
+        });
+        flows = new Flows(settings, config.seed(), (s, seed, sink) -> new Views(views, Choice::new, s, seed, sink),
+                new Mailbox(thread, MAILBOX), timers, targets, discovery);
         core[0] = flows;
-        discovery.known(config.known() == null ? new MemberList(0, true, List.of()) : config.known());
+        discovery.known(remembered.list());
         BodyReader bodies = new BodyReader();
         OpenIds ids = new OpenIds();
         front = new PlatformFront(flows, bodies, ids, settings, !messageKinds().isEmpty());
@@ -111,6 +130,19 @@
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
 
+    /** The actor that writes the list down, null if it is not to be. */
+    private Recorder recorder(XnioIoThread thread, IoTimers timers, Remembered remembered) {
+        if (start.snapshot() == null) {
+            return null;
+        }
+        Recorder recorder = new Recorder(new Mailbox(thread, MAILBOX), new Mailbox(worker, 1), timers,
+                new SnapshotStore(start.snapshot()), start.pace());
+        if (remembered.snapshot() != null) {
+            recorder.remembers(remembered.snapshot());
+        }
+        return recorder;
+    }
+
     /** Clients hold a third of the descriptors for requests at most, and each flow has one forward out. */
     private static int targetShare(NodeConfig config) {
         return config.sockets() / 3;
--- a/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -1,6 +1,6 @@
 package fawnlb.client;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.actor.Mailbox;
 import fawnlb.flow.Flows;
 import fawnlb.flow.Listener;
--- a/src/main/java/fawnlb/client/Replies.java
+++ b/node/src/main/java/fawnlb/client/Replies.java
@@ -1,6 +1,6 @@
 package fawnlb.client;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 
 /** How a front words its answers, and what it wants to hear at the end of each. */
 public interface Replies {
--- a/src/main/java/fawnlb/config/NodeConfig.java
+++ b/node/src/main/java/fawnlb/config/NodeConfig.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import fawnlb.Balancer.Settings;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.discovery.MemberList;
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/main/java/fawnlb/Balancer.java
+++ b/node/src/main/java/fawnlb/decision/Balancer.java
@@ -1,4 +1,4 @@
-package fawnlb;
+package fawnlb.decision;
 
 import java.util.List;
 
@@ -13,6 +13,12 @@
     /** Tells the module one event. The time is that of the event and of every action it causes. */
     void on(long now, Event event);
 
+    /** Makes the module of one router. */
+    @FunctionalInterface
+    interface Maker {
+        Balancer make(Settings settings, long seed, Sink sink);
+    }
+
     /** Where the module's actions go. */
     @FunctionalInterface
     interface Sink {
@@ -76,14 +82,31 @@
     /** Anything the router tells the module. */
     sealed interface Event permits Listed, Request, Started, Ended, ClientGone, Probed, PeerMessage, TimerDue { }
 
-    /** What a list event brings: changed entries, the whole list, the list as last held, or nothing (failed). */
-    enum ListKind { DELTA, FULL, CACHED, FAILED }
+    /** What a list event brings: changed entries, the whole list, the list as last held, nothing (failed), or what a
+     *  view between the list and the module has changed, which says nothing of whether the list is followed. */
+    enum ListKind { DELTA, FULL, CACHED, FAILED, VIEW }
 
     /** A replica's state in the list. */
     enum Phase { READY, DRAINING, GONE }
 
-    /** A replica as listed. {@code readyAt}: when it last started, 0 if long ago. */
-    record Replica(long id, Phase phase, long readyAt, double size, int zone, int cell, int kind) { }
+    /** A replica as listed. {@code readyAt}: when it last started, 0 if long ago; {@code room}: how many of this
+     *  router's requests may await their first token there, {@link #ALL} where nothing limits them. */
+    record Replica(long id, Phase phase, long readyAt, double size, int zone, int cell, int kind, int room) {
+        public static final int ALL = Integer.MAX_VALUE;
+
+        /** A replica as discovery lists it. */
+        public Replica(long id, Phase phase, long readyAt, double size, int zone, int cell, int kind) {
+            this(id, phase, readyAt, size, zone, cell, kind, ALL);
+        }
+
+        public Replica withRoom(int most) {
+            return new Replica(id, phase, readyAt, size, zone, cell, kind, most);
+        }
+
+        public Replica gone() {
+            return new Replica(id, Phase.GONE, readyAt, size, zone, cell, kind, room);
+        }
+    }
 
     /** News of the replica list. */
     record Listed(ListKind kind, long version, List<Replica> replicas) implements Event { }
--- a/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -1,6 +1,6 @@
 package fawnlb.discovery;
 
-import fawnlb.Balancer.ListKind;
+import fawnlb.decision.Balancer.ListKind;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
 import fawnlb.flow.Roster;
--- a/src/main/java/fawnlb/discovery/Member.java
+++ b/node/src/main/java/fawnlb/discovery/Member.java
@@ -1,6 +1,6 @@
 package fawnlb.discovery;
 
-import fawnlb.Balancer.Phase;
+import fawnlb.decision.Balancer.Phase;
 
 /** A target as discovery lists it. */
 public record Member(String id, String host, int port, String zone, String kind, int cell, Phase phase, double size,
--- a/src/main/java/fawnlb/discovery/MemberList.java
+++ b/node/src/main/java/fawnlb/discovery/MemberList.java
@@ -1,12 +1,14 @@
 package fawnlb.discovery;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import fawnlb.Balancer.Phase;
+import fawnlb.decision.Balancer.Phase;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 
 /** A list in discovery's form: {@code {"revision":41,"complete":true,"members":[...]}}. */
 public record MemberList(long revision, boolean complete, List<Member> members) {
@@ -56,7 +58,22 @@
         }
     }
 
-    private static Member member(JsonParser in) throws IOException {
+    /** Writes a member in discovery's form. */
+    public static void write(Member member, JsonGenerator out) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("id", member.id());
+        out.writeStringField("host_port", member.host() + ':' + member.port());
+        out.writeStringField("locality", member.zone());
+        out.writeStringField("flavor", member.kind());
+        out.writeNumberField("cell", member.cell());
+        out.writeStringField("phase", member.phase().name().toLowerCase(Locale.ROOT));
+        out.writeNumberField("size", member.size());
+        out.writeNumberField("up_since_ms", member.upSinceMillis());
+        out.writeEndObject();
+    }
+
+    /** Reads the member that the parser stands at the start of. */
+    public static Member member(JsonParser in) throws IOException {
         expect(in, JsonToken.START_OBJECT);
         String id = "";
         String address = "";
--- a/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -1,7 +1,7 @@
 package fawnlb.flow;
 
-import fawnlb.Balancer;
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
 import java.util.HashMap;
@@ -31,13 +31,7 @@
     private long lastId;
     private volatile int open;
 
-    /** Makes the module. */
-    @FunctionalInterface
-    public interface Maker {
-        Balancer make(Balancer.Settings settings, long seed, Balancer.Sink sink);
-    }
-
-    public Flows(Balancer.Settings settings, long seed, Maker maker, Mailbox mailbox, Timers timers,
+    public Flows(Balancer.Settings settings, long seed, Balancer.Maker maker, Mailbox mailbox, Timers timers,
                  Targets targets, Roster roster) {
         this.settings = settings;
         this.mailbox = mailbox;
--- a/src/main/java/fawnlb/flow/Listener.java
+++ b/node/src/main/java/fawnlb/flow/Listener.java
@@ -1,6 +1,6 @@
 package fawnlb.flow;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 
 /** The client's side of a flow. Exactly one of its methods is called, once, unless the client has left. */
 public interface Listener {
--- a/src/main/java/fawnlb/flow/Targets.java
+++ b/node/src/main/java/fawnlb/flow/Targets.java
@@ -1,6 +1,6 @@
 package fawnlb.flow;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 import java.util.List;
 
 /** The targets as the core sees them. */
--- a/src/main/java/fawnlb/messages/BrokerReplies.java
+++ b/node/src/main/java/fawnlb/messages/BrokerReplies.java
@@ -1,6 +1,6 @@
 package fawnlb.messages;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.actor.Timers;
 import fawnlb.client.Replies;
 import fawnlb.dialect.ErrorBody;
--- a/src/main/java/fawnlb/messages/FlowLog.java
+++ b/node/src/main/java/fawnlb/messages/FlowLog.java
@@ -1,6 +1,6 @@
 package fawnlb.messages;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.syslog.SyslogRecord;
 import fawnlb.syslog.SyslogSender;
 import fawnlb.target.Parcel;
--- a/src/main/java/fawnlb/messages/MessagesFront.java
+++ b/node/src/main/java/fawnlb/messages/MessagesFront.java
@@ -1,6 +1,6 @@
 package fawnlb.messages;
 
-import fawnlb.Balancer.Settings;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
 import fawnlb.http.BodyReader;
--- a/src/main/java/fawnlb/platform/AskReader.java
+++ b/node/src/main/java/fawnlb/platform/AskReader.java
@@ -1,6 +1,6 @@
 package fawnlb.platform;
 
-import fawnlb.Balancer.Settings;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.client.Keys;
 import fawnlb.flow.Ask;
 import java.util.Map;
--- a/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/node/src/main/java/fawnlb/platform/PlatformFront.java
@@ -1,6 +1,6 @@
 package fawnlb.platform;
 
-import fawnlb.Balancer.Settings;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.actor.Mailbox;
 import fawnlb.http.BodyReader;
 import fawnlb.client.ClientExchange;
--- a/src/main/java/fawnlb/platform/PlatformReplies.java
+++ b/node/src/main/java/fawnlb/platform/PlatformReplies.java
@@ -1,6 +1,6 @@
 package fawnlb.platform;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.client.Replies;
 import fawnlb.target.Parcel;
 import io.undertow.util.StatusCodes;
--- a/src/main/java/fawnlb/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -1,5 +1,6 @@
-package fawnlb;
+package fawnlb.policy;
 
+import fawnlb.decision.Balancer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -12,7 +13,7 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * All decisions of one router. The interface (settings, events, actions) is in Balancer.java.
+ * All decisions of one router. The interface (settings, events, actions) is decision.Balancer.
  *
  * <p>The ordinary path is bounded-load consistent hashing: a request's prefix, else its session, is hashed
  * onto a ring of replicas and sent to the first one clockwise whose count of this router's own attempts is
@@ -92,6 +93,7 @@
         double pace = 1;
         int streams;
         int waiting;
+        int room;
         long waitingSince;
 
         Node(long id) {
@@ -111,7 +113,7 @@
     private int failedCalls;
 
     private void listed(Listed news) {
-        if (settings.discovery() == Discovery.ASKED) {
+        if (settings.discovery() == Discovery.ASKED && news.kind() != ListKind.VIEW) {
             follow(news.kind());
         }
         if (news.kind() == ListKind.FAILED) {
@@ -119,7 +121,7 @@
         }
         List<Node> joined = new ArrayList<>();
         boolean left = false;
-        boolean whole = news.kind() != ListKind.DELTA;
+        boolean whole = news.kind() == ListKind.FULL || news.kind() == ListKind.CACHED;
         long mark = ++visits;
         for (Replica replica : news.replicas()) {
             Node node = nodes.computeIfAbsent(replica.id(), Node::new);
@@ -133,6 +135,7 @@
             node.phase = replica.phase();
             node.zone = replica.zone();
             node.cell = replica.cell();
+            node.room = replica.room();
             node.visit = mark;
             if (listed && !node.onRing) {
                 node.onRing = true;
@@ -300,7 +303,7 @@
             if (!permitted(task, node) || task.tried(node)) {
                 continue;
             }
-            if (node.suspectUntil > now || node.cold && now < node.coldNextAt) {
+            if (node.suspectUntil > now || node.cold && now < node.coldNextAt || node.waiting >= node.room) {
                 continue;
             }
             if (node.inFlight < capOf(node, limit, task, usualPace)) {
--- a/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -1,6 +1,6 @@
 package fawnlb.target;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
 import fawnlb.dialect.Dialect;
--- a/src/main/java/fawnlb/target/TargetPool.java
+++ b/node/src/main/java/fawnlb/target/TargetPool.java
@@ -1,7 +1,7 @@
 package fawnlb.target;
 
-import fawnlb.Balancer.Outcome;
-import fawnlb.Balancer.Phase;
+import fawnlb.decision.Balancer.Outcome;
+import fawnlb.decision.Balancer.Phase;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
 import fawnlb.dialect.Dialect;
--- /dev/null
+++ b/node/src/main/java/fawnlb/view/View.java
@@ -0,0 +1,29 @@
+package fawnlb.view;
+
+import fawnlb.decision.Balancer.Event;
+import fawnlb.decision.Balancer.Listed;
+
+/**
+ * One step between the list of targets and the decision module: it sees each list as the step before shows it and
+ * every other event before the module does, and decides what the next step is to believe of each target. A view
+ * does no I/O and reads no clock; times are nanoseconds on the host's clock, which never goes back.
+ *
+ * <p>What a view shows on its own account has the kind {@link fawnlb.decision.Balancer.ListKind#VIEW}: it changes
+ * the named targets alone and says nothing of whether the list is being followed.
+ */
+public interface View {
+    /** {@link #wakeAt} of a view that waits for nothing. */
+    long NEVER = Long.MAX_VALUE;
+
+    /** A list, as the step before shows it. What the next step sees in its place, null if it sees nothing. */
+    Listed listed(long now, Listed news);
+
+    /** Any other event. What the next step is to see because of it, null if nothing. */
+    Listed seen(long now, Event event);
+
+    /** When this view wants to be woken, {@link #NEVER} if not at all. */
+    long wakeAt();
+
+    /** The time of {@link #wakeAt} has come. What the next step is to see because of it, null if nothing. */
+    Listed woken(long now);
+}
--- a/src/main/java/fawnlb/wire/Reply.java
+++ b/node/src/main/java/fawnlb/wire/Reply.java
@@ -1,6 +1,6 @@
 package fawnlb.wire;
 
-import fawnlb.Balancer;
+import fawnlb.decision.Balancer;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
--- a/src/main/java/fawnlb/wire/WireHost.java
+++ b/node/src/main/java/fawnlb/wire/WireHost.java
@@ -1,11 +1,11 @@
 package fawnlb.wire;
 
-import fawnlb.Balancer;
-import fawnlb.Balancer.ListKind;
-import fawnlb.Balancer.Outcome;
-import fawnlb.Balancer.Phase;
-import fawnlb.Balancer.Replica;
-import fawnlb.Choice;
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.ListKind;
+import fawnlb.decision.Balancer.Outcome;
+import fawnlb.decision.Balancer.Phase;
+import fawnlb.decision.Balancer.Replica;
+import fawnlb.policy.Choice;
 import fawnlb.config.SettingsParser;
 import java.io.IOException;
 import java.io.InputStream;
@@ -23,24 +23,18 @@
     private static final int REPEAT = 2;
     private static final int RESUMED = 16;
 
-    private final Maker maker;
+    private final Balancer.Maker maker;
     private final Frames in;
     private final OutputStream out;
     private final Reply reply = new Reply();
     private final Map<Integer, Balancer> instances = new HashMap<>();
     private final List<List<Replica>> lists = new ArrayList<>();
 
-    /** Makes the module of one instance. */
-    @FunctionalInterface
-    interface Maker {
-        Balancer make(Balancer.Settings settings, long seed, Balancer.Sink sink);
-    }
-
     public WireHost(InputStream in, OutputStream out) {
         this(in, out, Choice::new);
     }
 
-    WireHost(InputStream in, OutputStream out, Maker maker) {
+    WireHost(InputStream in, OutputStream out, Balancer.Maker maker) {
         this.maker = maker;
         this.in = new Frames(in);
         this.out = out;
--- a/src/test/java/fawnlb/cli/JarIT.java
+++ b/node/src/test/java/fawnlb/cli/JarIT.java
@@ -8,6 +8,7 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
@@ -26,13 +27,13 @@
 /** The jar as it is built, started as the deploy file starts it. */
 public class JarIT {
     private static Process start(String command, String... arguments) throws IOException {
-        Matcher line = Pattern.compile("(?m)^run = \"(?:[A-Z_]+=\\S+ )*exec (.*) serve\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        Matcher line = Pattern.compile("(?m)^run = \"(?:[A-Z_]+=\\S+ )*exec (.*) serve\"$").matcher(Files.readString(Path.of("../deploy/balancer.toml")));
         assertTrue(line.find());
         List<String> words = new ArrayList<>(List.of(line.group(1).split(" ")));
         words.set(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
         words.add(command);
         words.addAll(List.of(arguments));
-        return new ProcessBuilder(words).redirectErrorStream(true).start();
+        return new ProcessBuilder(words).directory(new File("..")).redirectErrorStream(true).start();
     }
 
     private static String output(Process process, int code) throws Exception {
@@ -83,7 +84,7 @@
                 + chunk("data: {\"choices\":[{\"delta\":{\"content\":\"Hi\"}}]}\n\ndata: [DONE]\n\n") + "0\r\n\r\n"))) {
             Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
                     Rigged.member(1, target.address(), "c", "ready")));
-            Path broker = Rigged.file(Files.readString(Path.of("examples/messages.json")).replace(":9100", ":0")
+            Path broker = Rigged.file(Files.readString(Path.of("../examples/messages.json")).replace(":9100", ":0")
                     .replace("advisor-chat", "chat"));
             Process node = start("serve", "--config", config.toString(), "--broker", broker.toString());
             try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
--- a/src/test/java/fawnlb/cli/Rigged.java
+++ b/node/src/test/java/fawnlb/cli/Rigged.java
@@ -2,6 +2,7 @@
 
 import fawnlb.config.BrokerConfig;
 import fawnlb.config.NodeConfig;
+import fawnlb.config.StartConfig;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -14,6 +15,8 @@
 /** A node under test among stand-ins, and a client's side of a connection to it. */
 final class Rigged implements AutoCloseable {
     static final long PATIENCE = 10_000_000_000L;
+    /** Most rules are tested on a list that is believed as it stands. */
+    private static final String BELIEVED = "{\"probation\":{\"on\":false}}";
     final Node node;
 
     /** Settings of both kinds of class; the mode is that of the list. */
@@ -33,7 +36,13 @@
     }
 
     Rigged(String config, String broker) throws Exception {
-        node = new Node(NodeConfig.read(file(config), Map.of()), broker == null ? null : BrokerConfig.read(file(broker)));
+        this(config, broker, BELIEVED);
+    }
+
+    Rigged(String config, String broker, String start) throws Exception {
+        NodeConfig read = NodeConfig.read(file(config), Map.of());
+        node = new Node(read, broker == null ? null : BrokerConfig.read(file(broker)),
+                StartConfig.read(file(start), read.settings()));
         node.start();
     }
 
--- a/src/test/java/fawnlb/client/ClientExchangeTest.java
+++ b/node/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.Assert.assertTrue;
 
-import fawnlb.Balancer.Outcome;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.actor.Mailbox;
 import io.undertow.Undertow;
 import io.undertow.util.SameThreadExecutor;
--- a/src/test/java/fawnlb/config/ConfigTest.java
+++ b/node/src/test/java/fawnlb/config/ConfigTest.java
@@ -73,6 +73,22 @@
 
     @Test
     public void theFilesUnderDeployAreGood() throws Exception {
-        assertEquals(2, BrokerConfig.read(Path.of("deploy/messages.json")).contracts().teams().size());
+        assertEquals(2, BrokerConfig.read(Path.of("../deploy/messages.json")).contracts().teams().size());
+    }
+
+    @Test
+    public void aStartFileIsReadOrItsFaultNamed() throws Exception {
+        StartConfig read = StartConfig.read(Path.of("../deploy/start.json"), NodeConfig.read(file(GOOD), Map.of()).settings());
+        assertTrue(read.snapshot().isAbsolute() && !read.believed() && read.probation().hold() > 0);
+        String[][] cases = {{"[]", "JSON"}, {"{\"snapshots\":1}", "snapshots: no such setting"},
+            {"{\"probation\":{\"on\":\"maybe\"}}", "probation.on"}, {"{\"probation\":{\"proofs\":0}}", "probation.proofs"},
+            {"{\"probation\":{\"doubt-ms\":5000,\"longest-doubt-ms\":10}}", "longest-doubt-ms"},
+            {"{\"snapshot\":{\"least-interval-ms\":-1}}", "least-interval-ms"}, {"{\"empty-list\":{\"hold-ms\":\"x\"}}", "hold-ms"}};
+        for (String[] row : cases) {
+            Path file = file(row[0]);
+            String message = assertThrows(row[0], NodeConfig.Bad.class,
+                    () -> StartConfig.read(file, NodeConfig.read(file(GOOD), Map.of()).settings())).getMessage();
+            assertTrue(message, message.contains(row[1]) && message.lines().count() == 1);
+        }
     }
 }
--- a/src/test/java/fawnlb/discovery/MemberListTest.java
+++ b/node/src/test/java/fawnlb/discovery/MemberListTest.java
@@ -3,7 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertThrows;
 
-import fawnlb.Balancer.Phase;
+import fawnlb.decision.Balancer.Phase;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -5,10 +5,10 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
-import fawnlb.Balancer;
-import fawnlb.Balancer.Ended;
-import fawnlb.Balancer.Outcome;
-import fawnlb.Balancer.Send;
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.Ended;
+import fawnlb.decision.Balancer.Outcome;
+import fawnlb.decision.Balancer.Send;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
 import fawnlb.config.SettingsParser;
--- a/src/test/java/fawnlb/ExceptionsTest.java
+++ b/node/src/test/java/fawnlb/policy/ExceptionsTest.java
@@ -1,17 +1,18 @@
-package fawnlb;
+package fawnlb.policy;
 
-import static fawnlb.Rig.MS;
-import static fawnlb.Rig.S;
-import static fawnlb.Rig.replica;
+import static fawnlb.policy.Rig.MS;
+import static fawnlb.policy.Rig.S;
+import static fawnlb.policy.Rig.replica;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import fawnlb.Balancer.ListKind;
-import fawnlb.Balancer.Outcome;
-import fawnlb.Balancer.Phase;
-import fawnlb.Balancer.Refuse;
-import fawnlb.Balancer.Send;
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.ListKind;
+import fawnlb.decision.Balancer.Outcome;
+import fawnlb.decision.Balancer.Phase;
+import fawnlb.decision.Balancer.Refuse;
+import fawnlb.decision.Balancer.Send;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
--- a/src/test/java/fawnlb/RingTest.java
+++ b/node/src/test/java/fawnlb/policy/RingTest.java
@@ -1,13 +1,14 @@
-package fawnlb;
+package fawnlb.policy;
 
-import static fawnlb.Rig.replica;
+import static fawnlb.policy.Rig.replica;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import fawnlb.Balancer.ListKind;
-import fawnlb.Balancer.Outcome;
-import fawnlb.Balancer.Phase;
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.ListKind;
+import fawnlb.decision.Balancer.Outcome;
+import fawnlb.decision.Balancer.Phase;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
