Add the lab: an emulated fleet, a rule checker, and scenarios for starts without discovery

Need: the project had no fleet of its own to show on that a start without discovery harms no box.

Change: a module lab with engines that work in steps (cold start, falling over, kept prompts, full), a roster that is late, goes down and comes back with less, open-loop clients with retries, a checker that hears only what crossed the sockets, and scenarios that play them against real node processes.

--- /dev/null
+++ b/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
@@ -0,0 +1,189 @@
+package fawnlb.lab.node;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A real node in a process of its own, started as the deploy file says. */
+public final class NodeProcess implements AutoCloseable {
+    private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
+
+    private final String name;
+    private final InetSocketAddress address;
+    private final Path folder;
+    private Process process;
+
+    /** Which of how many nodes it is, where its roster is, and the rules' figures that it is told. */
+    public record Setting(int number, int nodes, InetSocketAddress roster, List<String> zones, List<String> kinds) { }
+
+    public NodeProcess(String name, Path folder) throws IOException {
+        this.name = name;
+        this.folder = folder;
+        this.address = new InetSocketAddress("127.0.0.1", freePort());
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Where the repository is: the first folder above this one that has a deploy file. */
+    public static Path root() throws IOException {
+        for (Path at = Path.of("").toAbsolutePath(); at != null; at = at.getParent()) {
+            if (Files.exists(at.resolve("deploy/balancer.toml"))) {
+                return at;
+            }
+        }
+        throw new IOException("no deploy/balancer.toml here or above: run this inside the repository");
+    }
+
+    /** The command that starts a node. */
+    public static String runLine() throws IOException {
+        Matcher line = RUN.matcher(Files.readString(root().resolve("deploy/balancer.toml")));
+        if (!line.find()) {
+            throw new IOException("deploy/balancer.toml has no 'run'");
+        }
+        return line.group(1);
+    }
+
+    /** Starts it; {@code start}: the text of its start file, null for none. */
+    public void start(Setting setting, String start) throws IOException {
+        start(runLine(), setting, start);
+    }
+
+    /** Starts it by another command. */
+    public void start(String command, Setting setting, String start) throws IOException {
+        Path config = folder.resolve(name + ".json");
+        writeConfig(config, setting);
+        String line = command + " --config " + config;
+        if (start != null) {
+            Path file = Files.writeString(folder.resolve(name + "-start.json"), start);
+            line += " --start " + file;
+        }
+        process = new ProcessBuilder("/bin/sh", "-c", line).directory(root().toFile()).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), name + ".log"))).start();
+    }
+
+    public long pid() {
+        return process.pid();
+    }
+
+    public boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Whether it says that it is ready. */
+    public boolean isReady() {
+        try (Socket socket = new Socket()) {
+            socket.connect(address, 500);
+            socket.setSoTimeout(2000);
+            socket.getOutputStream().write("GET /health/ready HTTP/1.1\r\nHost: lab\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = socket.getInputStream();
+            return new String(in.readNBytes(12), StandardCharsets.ISO_8859_1).equals("HTTP/1.1 200");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** What its log says. */
+    public String log() throws IOException {
+        return Files.readString(folder.resolve(name + ".log"));
+    }
+
+    private void writeConfig(Path file, Setting setting) throws IOException {
+        try (JsonGenerator out = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
+            out.writeStartObject();
+            out.writeStringField("name", name);
+            out.writeStringField("listen", text(address));
+            out.writeStringField("discovery", text(setting.roster()));
+            out.writeStringField("seed", Integer.toHexString(setting.number() + 1));
+            out.writeObjectFieldStart("limits");
+            out.writeNumberField("sockets", 4096);
+            out.writeEndObject();
+            out.writeObjectFieldStart("settings");
+            out.writeNumberField("my-number", setting.number());
+            out.writeNumberField("replicas-of-me", setting.nodes());
+            out.writeStringField("registry-mode", "subscribe");
+            out.writeNumberField("tick-ns", 5_000_000);
+            strings(out, "localities", setting.zones());
+            strings(out, "host-types", setting.kinds());
+            out.writeArrayFieldStart("profiles");
+            object(out, Map.of("name", "advisor-chat", "effect", "safe", "group", "all", "on-time-ns", 1_500_000_000L,
+                    "deadline-ns", 7_500_000_000L, "late-worth", 0.25, "credit", 1.0, "stream", true));
+            out.writeEndArray();
+            out.writeFieldName("limits");
+            object(out, Map.of("most-tries", 6, "most-held", 2000, "may-cancel", true, "retry-after", true,
+                    "max-retry-after-ns", 2_000_000_000L, "connect-timeout-ns", 250_000_000, "conn-idle-ns", 15_000_000_000L));
+            out.writeFieldName("rules");
+            object(out, Map.of("ask-within-ns", 10_000_000_000L, "drain-grace-ns", 750_000_000, "cold-from", 0.36,
+                    "cold-ns", 8_900_000_000L, "tip-multiple", 4.0, "fall-ns", 3_000_000_000L));
+            out.writeObjectFieldStart("family-info");
+            out.writeArrayFieldStart("token-aim-ns");
+            out.writeNumber(50_000_000);
+            out.writeEndArray();
+            out.writeArrayFieldStart("aim-us-per-1000-prompt-tokens");
+            out.writeNumber(60_000);
+            out.writeEndArray();
+            out.writeEndObject();
+            out.writeEndObject();
+            out.writeEndObject();
+        }
+    }
+
+    private static void strings(JsonGenerator out, String name, List<String> words) throws IOException {
+        out.writeArrayFieldStart(name);
+        for (String word : words) {
+            out.writeString(word);
+        }
+        out.writeEndArray();
+    }
+
+    private static void object(JsonGenerator out, Map<String, Object> fields) throws IOException {
+        out.writeStartObject();
+        for (Map.Entry<String, Object> field : fields.entrySet()) {
+            out.writeFieldName(field.getKey());
+            out.writeObject(field.getValue());
+        }
+        out.writeEndObject();
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ':' + address.getPort();
+    }
+
+    /** Kills it outright. */
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+            try {
+                process.waitFor(5, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/fawnlb/lab/scenario/StartWithoutDiscovery.java
@@ -0,0 +1,299 @@
+package fawnlb.lab.scenario;
+
+import fawnlb.actor.IoTimers;
+import fawnlb.decision.Balancer.Phase;
+import fawnlb.discovery.Member;
+import fawnlb.lab.engine.Engine;
+import fawnlb.lab.engine.EngineServer;
+import fawnlb.lab.engine.Kind;
+import fawnlb.lab.load.Clients;
+import fawnlb.lab.load.Plan;
+import fawnlb.lab.node.NodeProcess;
+import fawnlb.lab.roster.RosterServer;
+import fawnlb.lab.rules.RuleChecker;
+import fawnlb.snapshot.Snapshot;
+import fawnlb.snapshot.SnapshotStore;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Three nodes start while the roster is down. The list that they remember names 14 boxes: of these two refuse
+ * connects, one is silent, two drain, one has been replaced at its address, two have just started and are cold, and
+ * six are as they were. Five new boxes are known to the roster alone, which comes back having lost its state.
+ */
+public final class StartWithoutDiscovery implements Scenario {
+    private static final long S = 1_000_000_000L;
+    private static final Engine.Cold COLD = new Engine.Cold(0.36, 8_900_000_000L, 4, 3 * S);
+    private static final int NODES = 3;
+    private static final int LISTED = 14;
+    private static final int NEW = 5;
+    private static final double LOAD = 0.55;
+    /** Of a turn's prompt, the part that is not found kept in the long run. */
+    private static final double UNREAD = 0.35;
+    private static final String[] ZONES = {"regina-east", "saskatoon-north"};
+    private static final int LANES = 3;
+
+    /** What the nodes start with. Age: of the list, in seconds, below 0 where there is none. */
+    private enum Form { REMEMBERED, NO_LIST, BELIEVED, WARM }
+
+    private record Case(String words, Form form, long age) { }
+
+    private record Result(Case played, int[][] ends, double firstServed, int fell, Map<RuleChecker.Rule, List<String>> broken,
+                          List<String> table) {
+        /** Served in time of what was asked from one second to before another. */
+        double service(int from, int to) {
+            int asked = 0;
+            int served = 0;
+            for (int second = from; second < to; second++) {
+                for (int count : ends[second]) {
+                    asked += count;
+                }
+                served += ends[second][Clients.End.IN_TIME.ordinal()];
+            }
+            return asked == 0 ? 0 : served / (double) asked;
+        }
+
+        /** The first second from which three in a row reach the level, -1 if none does before the end. */
+        int reaches(double level, int end) {
+            for (int second = 0; second + 3 <= end; second++) {
+                if (service(second, second + 3) >= level) {
+                    return second;
+                }
+            }
+            return -1;
+        }
+    }
+
+    @Override
+    public String name() {
+        return "start-without-discovery";
+    }
+
+    @Override
+    public String purpose() {
+        return "three nodes start from a remembered list while the roster is down, beside no list and a believed one";
+    }
+
+    @Override
+    public Verdict play(long seed, boolean quick) throws Exception {
+        int outage = quick ? 12 : 20;
+        List<Case> cases = new ArrayList<>();
+        cases.add(new Case("warm, roster up", Form.WARM, -1));
+        for (long[] age : quick ? new long[][] {{86_400}} : new long[][] {{60}, {3600}, {86_400}}) {
+            cases.add(new Case("list " + age[0] + " s old", Form.REMEMBERED, age[0]));
+        }
+        cases.add(new Case("no list", Form.NO_LIST, -1));
+        cases.add(new Case("list believed as if warm", Form.BELIEVED, 60));
+        ExecutorService lanes = Executors.newFixedThreadPool(LANES);
+        List<Future<Result>> futures = new ArrayList<>();
+        for (Case each : cases) {
+            futures.add(lanes.submit(() -> run(each, seed, outage)));
+        }
+        lanes.shutdown();
+        List<Result> results = new ArrayList<>();
+        for (Future<Result> future : futures) {
+            results.add(future.get());
+            System.err.printf("%d of %d played%n", results.size(), cases.size());
+        }
+        return judge(results, outage);
+    }
+
+    private static Verdict judge(List<Result> results, int outage) {
+        Verdict verdict = new Verdict();
+        double warm = results.get(0).service(0, outage);
+        verdict.figure("warm service level (served in time of asked)", String.format("%.3f", warm));
+        for (Result result : results) {
+            String words = result.played().words();
+            System.out.println(words);
+            result.table().forEach(System.out::println);
+            boolean ours = result.played().form() == Form.REMEMBERED;
+            int reached = result.reaches(0.9 * warm, outage);
+            String first = result.firstServed() < 0 ? "never" : String.format("%.2f s", result.firstServed());
+            String at = reached < 0 ? "not in " + outage + " s" : reached + " s";
+            String rules = result.broken().isEmpty() ? "0" : result.broken().toString();
+            int broken = result.broken().values().stream().mapToInt(List::size).sum();
+            if (ours) {
+                verdict.claim(words + ": first event served after process start", first, "within 2 s",
+                        result.firstServed() >= 0 && result.firstServed() <= 2);
+                verdict.claim(words + ": 90% of the warm level from", at, "within 10 s", reached >= 0 && reached <= 10);
+                verdict.claim(words + ": boxes fallen over", Integer.toString(result.fell()), "0", result.fell() == 0);
+                verdict.claim(words + ": rules broken", Integer.toString(broken), "0", broken == 0);
+            } else {
+                verdict.figure(words + ": first event served after process start", first);
+                verdict.figure(words + ": 90% of the warm level from", at);
+                verdict.figure(words + ": boxes fallen over", Integer.toString(result.fell()));
+            }
+            verdict.figure(words + ": service while the roster is down", String.format("%.3f", result.service(0, outage)));
+            if (broken > 0) {
+                System.out.println(words + ": " + rules);
+            }
+        }
+        return verdict;
+    }
+
+    private static Result run(Case played, long seed, int outage) throws Exception {
+        Path folder = Files.createTempDirectory("fawnlb-lab");
+        int seconds = outage + 5;
+        XnioWorker fleet = worker("fleet");
+        XnioWorker callers = worker("clients");
+        List<NodeProcess> nodes = new ArrayList<>();
+        List<EngineServer> boxes = new ArrayList<>();
+        try {
+            IoTimers timers = new IoTimers(fleet.getIoThread());
+            RuleChecker rules = new RuleChecker(6, 750_000_000);
+            RandomGenerator random = new Well19937c(seed);
+            for (int i = 0; i < LISTED + NEW; i++) {
+                boxes.add(new EngineServer(id(i), Kind.draw(random.nextInt(100) < 53, random), COLD, 0, fleet, timers, rules));
+            }
+            List<Member> remembered = members(boxes.subList(0, LISTED), Phase.READY);
+            double capacity = boxes.subList(5, LISTED).stream()
+                    .mapToDouble(box -> 1000 / box.kind().work(Plan.MEAN_PROMPT * UNREAD, Plan.MEAN_OUT)).sum();
+            List<Plan.Turn> turns = Plan.draw(random, LOAD * capacity, seconds);
+            Map<String, NodeProcess> byName = new LinkedHashMap<>();
+            for (int i = 0; i < NODES; i++) {
+                nodes.add(new NodeProcess("n" + i, folder));
+                byName.put("n" + i, nodes.get(i));
+            }
+            boolean warm = played.form() == Form.WARM;
+            RosterServer[] roster = new RosterServer[1];
+            on(fleet, () -> {
+                roster[0] = new RosterServer(byName.keySet(), warm ? 99 : 7, S / 2, fleet, timers, rules);
+                if (warm) {
+                    roster[0].replace(99, members(boxes.subList(5, LISTED), Phase.READY));
+                } else {
+                    change(boxes);
+                    List<Member> now = new ArrayList<>(members(boxes.subList(5, LISTED + NEW), Phase.READY));
+                    now.addAll(members(boxes.subList(3, 5), Phase.DRAINING));
+                    roster[0].replace(7, now);
+                    roster[0].down();
+                }
+            });
+            for (int i = 0; i < NODES; i++) {
+                String start = start(played, folder.resolve("list-" + i), remembered);
+                nodes.get(i).start(new NodeProcess.Setting(i, NODES, roster[0].address("n" + i), List.of(ZONES),
+                        List.of("full-rate", "slow-rate")), start);
+            }
+            if (warm) {
+                TimeUnit.SECONDS.sleep(4);
+            }
+            IoTimers clock = new IoTimers(callers.getIoThread());
+            Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+            byName.forEach((name, node) -> addresses.put(name, node.address()));
+            Clients clients = new Clients(callers.getIoThread(), clock, rules, addresses, seconds + 1, seed);
+            on(callers, () -> clients.play(turns));
+            if (!warm) {
+                timers.after(outage * S, () -> {
+                    try {
+                        roster[0].up();
+                    } catch (IOException e) {
+                        throw new IllegalStateException("the roster can't come back", e);
+                    }
+                });
+            }
+            TimeUnit.SECONDS.sleep(seconds + 1);
+            for (int i = 0; i < 150 && clients.open() > 0; i++) {
+                TimeUnit.MILLISECONDS.sleep(100);
+            }
+            for (NodeProcess node : nodes) {
+                if (!node.isAlive()) {
+                    throw new IOException(node.name() + " ended by itself:\n" + node.log());
+                }
+            }
+            if (System.getProperty("lab.logs") != null) {
+                System.out.println(nodes.get(0).log());
+            }
+            int fell = rules.count(RuleChecker.Rule.NO_COLD_BOX_PUSHED_OVER);
+            return new Result(played, clients.ends(), clients.firstServed() < 0 ? -1 : clients.firstServed() / 1e9, fell,
+                    rules.broken(), clients.table());
+        } finally {
+            nodes.forEach(NodeProcess::close);
+            on(fleet, () -> boxes.forEach(EngineServer::close));
+            fleet.shutdownNow();
+            callers.shutdownNow();
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+    }
+
+    /** What has become of the remembered boxes since. */
+    private static void change(List<EngineServer> boxes) throws IOException {
+        boxes.get(0).die();
+        boxes.get(1).die();
+        boxes.get(2).vanish();
+        boxes.get(3).drain();
+        boxes.get(4).drain();
+        boxes.get(5).replace(id(LISTED + NEW));
+        boxes.get(6).restart();
+        boxes.get(7).restart();
+    }
+
+    private static String id(int number) {
+        return String.format("s-%08x", 0x5eed0000 + number * 7919);
+    }
+
+    private static List<Member> members(List<EngineServer> boxes, Phase phase) {
+        return boxes.stream().map(box -> new Member(box.id(), "127.0.0.1", box.address().getPort(),
+                ZONES[Math.floorMod(box.id().hashCode(), ZONES.length)], box.kind().name(), 0, phase, 1, 0)).toList();
+    }
+
+    /** The start file of one node, with the list that it remembers beside it. */
+    private static String start(Case played, Path file, List<Member> remembered) throws IOException {
+        if (played.form() == Form.NO_LIST || played.form() == Form.WARM) {
+            return null;
+        }
+        long at = System.currentTimeMillis() - played.age() * 1000;
+        new SnapshotStore(file).write(new Snapshot(at, 99, remembered.stream()
+                .map(member -> new Snapshot.Entry(member, at, at)).toList()));
+        return "{\"snapshot\":{\"file\":\"" + file + "\"},\"probation\":{\"on\":" + (played.form() == Form.REMEMBERED) + "}}";
+    }
+
+    private static XnioWorker worker(String name) throws IOException {
+        return Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_NAME, name).set(Options.THREAD_DAEMON, true).getMap());
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    /** Runs it on the worker's I/O thread and waits for it. */
+    private static void on(XnioWorker worker, Work work) throws Exception {
+        CountDownLatch done = new CountDownLatch(1);
+        Exception[] failed = new Exception[1];
+        worker.getIoThread().execute(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                failed[0] = e;
+            } finally {
+                done.countDown();
+            }
+        });
+        done.await();
+        if (failed[0] != null) {
+            throw failed[0];
+        }
+    }
+}
--- a/node/src/test/java/fawnlb/cli/JarIT.java
+++ b/node/src/test/java/fawnlb/cli/JarIT.java
@@ -48,7 +48,15 @@
         assertTrue(output(start("version"), 0).startsWith("fawnlb 0."));
         assertTrue(output(start("check", "--config", "examples/node.json", "--broker", "examples/messages.json"), 0)
                 .contains("1 team(s)"));
-        for (String[] arguments : new String[][] {{"--config", "nowhere.json"}, {"--config", "pom.xml"},
+        assertTrue(output(start("rehearse"), 0).contains("served one request"));
+        assertTrue(output(start("check", "--config", "examples/node.json", "--start", "deploy/start.json"), 0)
+                .contains("/var/lib/fawnlb/targets.snapshot"));
+        for (String[] arguments : new String[][] {{"show", "pom.xml"}, {"show", "nowhere"}, {"print", "pom.xml"}, {}}) {
+            String text = output(start("snapshot", arguments), 2);
+            assertTrue(text, text.startsWith("fawnlb: ") && text.lines().count() == 1);
+        }
+        for (String[] arguments : new String[][] {{"--config", "examples/node.json", "--start", "examples/node.json"},
+            {"--config", "nowhere.json"}, {"--config", "pom.xml"},
             {"--config", "examples/node.json", "--broker", "examples/node.json"}, {"--odd"}}) {
             String text = output(start("serve", arguments), 2);
             assertTrue(text, text.startsWith("fawnlb: ") && text.lines().count() == 1);
--- a/node/src/test/java/fawnlb/cli/StartWithoutDiscoveryTest.java
+++ b/node/src/test/java/fawnlb/cli/StartWithoutDiscoveryTest.java
@@ -130,4 +130,31 @@
             }
         }
     }
+
+    @Test
+    public void aListThatBreaksOffHalfWayChangesNothing() throws Exception {
+        try (StandIn target = serving();
+             StandIn discovery = new StandIn((request, socket) -> {
+                 write(socket, head(200, CHUNKED) + "400\r\n{\"revision\":3,\"complete\":true,\"members\":[");
+                 socket.close();
+             })) {
+            try (Rigged rigged = new Rigged(Rigged.config("subscribe", discovery.address(), ""), null,
+                    start("", member(1, target.address())))) {
+                Rigged.until("asked again", () -> discovery.requests.size() > 1);
+                assertTrue(rigged.ask(0, Rigged.chat("id", 3000)).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Test
+    public void withEveryListedTargetGoneARequestIsRefusedInTime() throws Exception {
+        String away;
+        try (StandIn gone = serving()) {
+            away = gone.address();
+        }
+        try (Rigged rigged = new Rigged(Rigged.config("subscribe", NOWHERE, ""), null, start("", member(1, away)))) {
+            String answer = rigged.ask(0, Rigged.chat("id", 500));
+            assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After"));
+        }
+    }
 }
