--- a/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
+++ b/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
@@ -22,6 +22,7 @@
     private final Timers timers;
     private final RuleChecker rules;
     private final Kind kind;
+    private final Speech speech;
     private final Engine.Cold cold;
     private final HttpServer server;
     private String id;
@@ -45,10 +46,11 @@
         }
     }
 
-    public EngineServer(String id, Kind kind, Engine.Cold cold, long startedAt, XnioWorker worker, Timers timers,
+    public EngineServer(String id, Kind kind, Speech speech, Engine.Cold cold, long startedAt, XnioWorker worker, Timers timers,
                         RuleChecker rules) throws IOException {
         this.id = id;
         this.kind = kind;
+        this.speech = speech;
         this.cold = cold;
         this.timers = timers;
         this.rules = rules;
@@ -101,9 +103,15 @@
         server.resetAll();
     }
 
-    /** Says nothing any more and leaves every connection open; new ones come up and stay as silent. */
-    public void vanish() {
+    /** Says nothing any more, as a machine that is cut off: open connections stay open, new ones never come up. */
+    public void vanish() throws IOException {
         silent = true;
+        server.hang();
+    }
+
+    /** Every open connection is reset; new ones are taken. */
+    public void reset() {
+        server.resetAll();
     }
 
     public void slow(double factor) {
@@ -131,14 +139,18 @@
             die();
             return;
         }
-        switch (request.path().split("\\?")[0]) {
+        String path = request.path().split("\\?")[0];
+        if (path.equals(speech.path())) {
+            answer(Ask.of(request), exchange);
+            return;
+        }
+        switch (path) {
             case "/health/live" -> exchange.write("HTTP/1.1 200 OK\r\n" + EMPTY);
             case "/stats" -> {
                 engine.probed();
                 String report = "TEXT queue=" + engine.waiting();
                 exchange.write("HTTP/1.1 200 OK\r\nContent-Length: " + report.length() + "\r\n\r\n" + report);
             }
-            case "/v1/chat/completions" -> answer(Ask.of(request), exchange);
             default -> exchange.write("HTTP/1.1 404 Not Found\r\n" + EMPTY);
         }
     }
@@ -203,13 +215,7 @@
             String head = sequence.made() == 1 ? "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                     + "Transfer-Encoding: chunked\r\n\r\n" : "";
             if (sequence.made() == 1 || sequence.made() % EVENT == 0 || last) {
-                String events = event("{\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + id + '.' + sequence.made()
-                        + " \"},\"finish_reason\":" + (last ? "\"stop\"" : "null") + "}]}");
-                if (last) {
-                    events += event("{\"choices\":[],\"usage\":{\"prompt_tokens\":" + sequence.prompt() + ",\"completion_tokens\":"
-                            + sequence.made() + ",\"prompt_tokens_details\":{\"cached_tokens\":" + sequence.found() + "}}}")
-                            + event("[DONE]");
-                }
+                String events = speech.text(sequence, id + '.' + sequence.made() + ' ', last) + (last ? speech.end(sequence) : "");
                 byte[] bytes = events.getBytes(StandardCharsets.UTF_8);
                 sum.update(bytes);
                 over = last;
@@ -220,9 +226,5 @@
                 exchange.write(head + Integer.toHexString(bytes.length) + "\r\n" + events + "\r\n" + (last ? "0\r\n\r\n" : ""));
             }
         }
-
-        private String event(String data) {
-            return "data: " + data + "\n\n";
-        }
     }
 }
--- a/lab/src/main/java/fawnlb/lab/net/HttpServer.java
+++ b/lab/src/main/java/fawnlb/lab/net/HttpServer.java
@@ -3,12 +3,17 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -27,12 +32,16 @@
  */
 public final class HttpServer implements Closeable {
     private static final int BACKLOG = 512;
+    /** More than an accept queue of one takes. */
+    private static final int FILLERS = 4;
 
     private final XnioWorker worker;
     private final Handler handler;
     private final Set<Exchange> open = new HashSet<>();
     private InetSocketAddress address;
     private AcceptingChannel<StreamConnection> server;
+    private ServerSocketChannel full;
+    private final List<SocketChannel> fillers = new ArrayList<>();
 
     /** A request as it came; header names in lower case. */
     public record Request(String method, String path, Map<String, String> headers, byte[] body) {
@@ -83,8 +92,30 @@
         server = null;
     }
 
+    /**
+     * New connections never come up from now on: the port stays open behind an accept queue that is full, where Linux
+     * drops what comes.
+     */
+    public void hang() throws IOException {
+        refuse();
+        full = ServerSocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true).bind(address, 1);
+        for (int i = 0; i < FILLERS; i++) {
+            SocketChannel filler = SocketChannel.open();
+            filler.configureBlocking(false);
+            filler.connect(address);
+            fillers.add(filler);
+        }
+    }
+
+    private void unhang() {
+        IoUtils.safeClose(full);
+        fillers.forEach(IoUtils::safeClose);
+        fillers.clear();
+    }
+
     /** Listens again where it did. */
     public void accept() throws IOException {
+        unhang();
         if (server == null) {
             listen();
         }
@@ -98,6 +129,7 @@
     @Override
     public void close() {
         refuse();
+        unhang();
         resetAll();
     }
 
--- a/lab/src/main/java/fawnlb/lab/scenario/StartWithoutDiscovery.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StartWithoutDiscovery.java
@@ -6,6 +6,7 @@
 import fawnlb.lab.engine.Engine;
 import fawnlb.lab.engine.EngineServer;
 import fawnlb.lab.engine.Kind;
+import fawnlb.lab.engine.Speech;
 import fawnlb.lab.load.Clients;
 import fawnlb.lab.load.Plan;
 import fawnlb.lab.node.NodeProcess;
@@ -28,6 +29,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.apache.commons.math3.random.Well19937c;
 import org.xnio.OptionMap;
@@ -58,7 +60,7 @@
     private record Case(String words, Form form, long age) { }
 
     private record Result(Case played, int[][] ends, double firstServed, int fell, Map<RuleChecker.Rule, List<String>> broken,
-                          List<String> table) {
+                          List<String> table, Histogram firstEvents) {
         /** Served in time of what was asked from one second to before another. */
         double service(int from, int to) {
             int asked = 0;
@@ -143,6 +145,8 @@
                 verdict.figure(words + ": boxes fallen over", Integer.toString(result.fell()));
             }
             verdict.figure(words + ": service while the roster is down", String.format("%.3f", result.service(0, outage)));
+            verdict.figure(words + ": first event after first try, median and p99", String.format("%.2f s  %.2f s",
+                    result.firstEvents().getValueAtPercentile(50) / 1e6, result.firstEvents().getValueAtPercentile(99) / 1e6));
             if (broken > 0) {
                 System.out.println(words + ": " + rules);
             }
@@ -162,7 +166,7 @@
             RuleChecker rules = new RuleChecker(6, 750_000_000);
             RandomGenerator random = new Well19937c(seed);
             for (int i = 0; i < LISTED + NEW; i++) {
-                boxes.add(new EngineServer(id(i), Kind.draw(random.nextInt(100) < 53, random), COLD, 0, fleet, timers, rules));
+                boxes.add(new EngineServer(id(i), Kind.draw(random.nextInt(100) < 53, random), Speech.CHAT, COLD, 0, fleet, timers, rules));
             }
             List<Member> remembered = members(boxes.subList(0, LISTED), Phase.READY);
             double capacity = boxes.subList(5, LISTED).stream()
@@ -223,7 +227,7 @@
             }
             int fell = rules.count(RuleChecker.Rule.NO_COLD_BOX_PUSHED_OVER);
             return new Result(played, clients.ends(), clients.firstServed() < 0 ? -1 : clients.firstServed() / 1e9, fell,
-                    rules.broken(), clients.table());
+                    rules.broken(), clients.table(), clients.firstEvents());
         } finally {
             nodes.forEach(NodeProcess::close);
             on(fleet, () -> boxes.forEach(EngineServer::close));
--- a/lab/src/test/java/fawnlb/lab/cli/SmallFleetTest.java
+++ b/lab/src/test/java/fawnlb/lab/cli/SmallFleetTest.java
@@ -10,9 +10,11 @@
 import fawnlb.discovery.Discovery;
 import fawnlb.discovery.Member;
 import fawnlb.discovery.MemberList;
+import fawnlb.http.Connection;
 import fawnlb.lab.engine.Engine;
 import fawnlb.lab.engine.EngineServer;
 import fawnlb.lab.engine.Kind;
+import fawnlb.lab.engine.Speech;
 import fawnlb.lab.load.Clients;
 import fawnlb.lab.load.Plan;
 import fawnlb.lab.roster.RosterServer;
@@ -81,7 +83,7 @@
 
     @Test
     public void aBoxServesItsClientsWhole() throws Exception {
-        EngineServer box = on(() -> new EngineServer("a", FAST, COLD, 0, worker, timers, rules));
+        EngineServer box = on(() -> new EngineServer("a", FAST, Speech.CHAT, COLD, 0, worker, timers, rules));
         Clients clients = play(box, List.of(turn(1, 9), turn(2, 1), turn(3, 40)));
         until(() -> clients.totals().get(Clients.End.IN_TIME) == 3);
         assertEquals(Map.of(), rules.broken());
@@ -91,7 +93,7 @@
     @Test
     public void clientsTryFourTimesWhereABoxDrainsOrIsGone() throws Exception {
         for (boolean gone : new boolean[] {false, true}) {
-            EngineServer box = on(() -> new EngineServer("a", FAST, COLD, 0, worker, timers, rules));
+            EngineServer box = on(() -> new EngineServer("a", FAST, Speech.CHAT, COLD, 0, worker, timers, rules));
             on(() -> {
                 if (gone) {
                     box.die();
@@ -110,7 +112,7 @@
 
     @Test
     public void aSilentBoxIsLeftByItsClients() throws Exception {
-        EngineServer box = on(() -> new EngineServer("a", FAST, COLD, 0, worker, timers, rules));
+        EngineServer box = on(() -> new EngineServer("a", FAST, Speech.CHAT, COLD, 0, worker, timers, rules));
         on(() -> {
             box.vanish();
             return null;
@@ -120,6 +122,24 @@
         assertEquals(1, (int) clients.totals().get(Clients.End.GIVEN_UP));
     }
 
+    @Test
+    public void aBoxThatVanishedTakesNoNewConnectionUntilItIsBack() throws Exception {
+        EngineServer box = on(() -> new EngineServer("a", FAST, Speech.CHAT, COLD, 0, worker, timers, rules));
+        BlockingQueue<Boolean> opened = new LinkedBlockingQueue<>();
+        for (boolean back : new boolean[] {false, true}) {
+            on(() -> {
+                if (back) {
+                    box.restart();
+                } else {
+                    box.vanish();
+                }
+                Connection.open(worker.getIoThread(), timers, box.address(), 300_000_000, c -> opened.add(c != null));
+                return null;
+            });
+            assertEquals(back, opened.poll(10, TimeUnit.SECONDS));
+        }
+    }
+
     /** What a node hears of the roster: the whole list, a change, its end, and a lower revision after its return. */
     @Test
     public void theRosterTellsWhatItWasTold() throws Exception {
--- a/node/src/main/java/fawnlb/cli/Main.java
+++ b/node/src/main/java/fawnlb/cli/Main.java
@@ -171,7 +171,21 @@
         return (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
     }
 
+    /**
+     * XNIO and JBoss Threads put beans into the platform's management server, which nothing here reads: it takes 300
+     * classes and a tenth of a start. Both do without it where it can't be had; who wants it sets the properties.
+     */
+    private static void withoutManagementBeans() {
+        for (String[] pair : new String[][] {{"javax.management.builder.initial", "none"},
+            {"jboss.threads.eqe.register-mbean", "false"}}) {
+            if (System.getProperty(pair[0]) == null) {
+                System.setProperty(pair[0], pair[1]);
+            }
+        }
+    }
+
     public static void main(String[] args) {
+        withoutManagementBeans();
         if (System.getProperty(LOG_FORMAT) == null) {
             System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
         }
