Second front: an error event ends a broken stream, a broken whole answer becomes 502

Need: a broken answer of the second front ended with a bare close, and one that was not streamed had status 200 and half a body.

Change: where the last event passed on was whole, the interface's own error event follows before the connection ends without a last chunk; behind half an event nothing is added. It goes out in one piece or not at all, so a slow reader keeps nothing. An answer that is not streamed is kept until it is whole (1 MB at most) and is a failed attempt if it breaks before.

Measured: the matrix of dialects covers both, in all pairs, and fails without the change.

--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -13,6 +13,7 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -20,6 +21,10 @@
 public final class ClientExchange implements Listener, Source.Sink {
     private static final AttachmentKey<Serving> SERVING = AttachmentKey.create(Serving.class);
 
+    /** The ends of an event, as the last bytes that were passed on. */
+    private static final int BLANK_LINE = 0x0a0a;
+    private static final int BLANK_CRLF_LINE = 0x0d0a0d0a;
+
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
     private final Mailbox mailbox;
@@ -29,6 +34,7 @@
     private Source source;
     private StreamSinkChannel channel;
     private ByteBuffer pending;
+    private int lastBytes;
     private boolean ended;
     private boolean done;
 
@@ -138,6 +144,9 @@
     @Override
     public void chunk(ByteBuffer bytes) {
         mailbox.tell(() -> {
+            for (int i = Math.max(bytes.position(), bytes.limit() - Integer.BYTES); i < bytes.limit(); i++) {
+                lastBytes = lastBytes << Byte.SIZE | bytes.get(i) & 0xff;
+            }
             pending = bytes;
             write();
         });
@@ -156,12 +165,30 @@
         mailbox.tell(() -> {
             if (!done) {
                 // Closed without a last chunk: a cut stream must not look finished.
+                sayBroken();
                 finished(Replies.End.BROKEN, replies.servedStatus(), null);
                 IoUtils.safeClose(connection);
             }
         });
     }
 
+    /**
+     * A front's last words on a broken stream go out in one piece or not at all: a client that reads too slowly must not
+     * keep the connection, and behind half an event they would be taken for the rest of it.
+     */
+    private void sayBroken() {
+        String words = replies.broken();
+        if (words.isEmpty() || pending != null || (lastBytes & 0xffff) != BLANK_LINE && lastBytes != BLANK_CRLF_LINE) {
+            return;
+        }
+        try {
+            channel.write(ByteBuffer.wrap(words.getBytes(StandardCharsets.UTF_8)));
+            channel.flush();
+        } catch (IOException e) {
+            // The client has left at the same moment.
+        }
+    }
+
     private void write() {
         if (done) {
             return;
--- a/node/src/main/java/fawnlb/client/Replies.java
+++ b/node/src/main/java/fawnlb/client/Replies.java
@@ -22,6 +22,11 @@
 
     Reply failed(Outcome cause);
 
+    /** What a stream that breaks is closed with, in place of its last events; empty where the interface has no words for it. */
+    default String broken() {
+        return "";
+    }
+
     /** Told once, for a front that keeps records; status 0 if none was sent. */
     default void finished(End end, int status, Outcome cause) { }
 }
--- a/node/src/main/java/fawnlb/dialect/ErrorBody.java
+++ b/node/src/main/java/fawnlb/dialect/ErrorBody.java
@@ -23,6 +23,11 @@
         };
     }
 
+    /** The event that ends a stream with an error, as each dialect's clients know it. */
+    public static String event(Dialect dialect, int status, String message) {
+        return (dialect == Dialect.MESSAGES ? "event: error\n" : "") + "data: " + write(dialect, status, message) + "\n\n";
+    }
+
     public static String write(Dialect dialect, int status, String message) {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = Fields.JSON.createGenerator(text)) {
--- a/node/src/main/java/fawnlb/messages/BrokerReplies.java
+++ b/node/src/main/java/fawnlb/messages/BrokerReplies.java
@@ -50,6 +50,12 @@
                 cause == null ? "failed" : "failed (" + word(cause) + ")");
     }
 
+    @Override
+    public String broken() {
+        return stream && tally.status() == StatusCodes.OK
+                ? ErrorBody.event(record.dialect(), StatusCodes.BAD_GATEWAY, "the answer broke off") : "";
+    }
+
     private Reply reply(int status, String text) {
         return new Reply(status, "application/json", ErrorBody.write(record.dialect(), status, text));
     }
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -9,6 +9,7 @@
 import fawnlb.flow.Targets;
 import fawnlb.http.Connection;
 import fawnlb.http.Response;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -30,6 +31,9 @@
     private static final int MOST_DISCARDED = 64 * 1024;
     private static final long DISCARD = 250_000_000;
 
+    /** An answer that is not streamed is kept until it is whole, and may be so long. */
+    private static final int LONGEST_WHOLE = 1 << 20;
+
     /** What a target finds wrong with the request itself: it would with every target, and the client can mend it. */
     private static final Set<Integer> CLIENT_FAULTS = Set.of(400, 404, 413, 422);
 
@@ -233,6 +237,7 @@
         private Translation translation;
         private Translation witness;
         private final Tail tail = new Tail();
+        private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
         private Response head;
         private boolean streaming;
         private boolean objects;
@@ -306,12 +311,23 @@
             try {
                 tail.add(bytes);
                 observe(bytes.duplicate());
-                deliver(translation == null ? bytes : translation.feed(bytes));
+                deliver(translation != null ? translation.feed(bytes) : parcel.stream() || objects ? bytes : hold(bytes));
             } catch (IOException e) {
                 stop(Outcome.RESET);
             }
         }
 
+        /** A whole answer is shown when it is whole: half of one under status 200 would pass for all of it. */
+        private ByteBuffer hold(ByteBuffer bytes) throws IOException {
+            if (held.size() + bytes.remaining() > LONGEST_WHOLE) {
+                throw new IOException("answer longer than " + LONGEST_WHOLE + " bytes");
+            }
+            byte[] piece = new byte[bytes.remaining()];
+            bytes.get(piece);
+            held.writeBytes(piece);
+            return bytes;
+        }
+
         private void deliver(ByteBuffer bytes) {
             if (!bytes.hasRemaining()) {
                 watch();
@@ -385,6 +401,8 @@
                     complete = false;
                     rest(translation.finish());
                     complete = true;
+                } else if (held.size() > 0) {
+                    rest(ByteBuffer.wrap(held.toByteArray()));
                 }
             } catch (IOException e) {
                 // The framing ended, the answer did not: it must not look finished.
--- a/node/src/test/java/fawnlb/cli/DialectMatrixTest.java
+++ b/node/src/test/java/fawnlb/cli/DialectMatrixTest.java
@@ -97,6 +97,14 @@
                     write(socket, first);
                     socket.close();
                 }
+                case "half" -> {
+                    write(socket, first + chunk("data: {\"choi"));
+                    socket.close();
+                }
+                case "wholehalf" -> {
+                    write(socket, head(200, "Content-Length: 50\r\n") + "{\"choices\":[");
+                    socket.close();
+                }
                 case "cut" -> write(socket, first + "0\r\n\r\n");
                 case "gone" -> {
                     write(socket, first);
@@ -195,6 +203,14 @@
         String broken = ask("broken-1");
         assertTrue(broken, broken.contains("Hel"));
         assertFalse(broken, broken.contains("\r\n0\r\n") || broken.contains(last(client)));
+        assertEquals(broken, client == Dialect.MESSAGES ? 1 : 0, broken.split("event: error\n", -1).length - 1);
+        assertTrue(broken, broken.contains("data: {" + (client == Dialect.MESSAGES ? "\"type\":\"error\"," : "")
+                + "\"error\":{\"type\":\"api_error\""));
+        String half = ask("half-1");
+        assertEquals("behind half an event no other is put", client != target, half.contains("\"error\":{"));
+        assertFalse(half, half.contains("\r\n0\r\n") || half.contains(last(client)));
+        String wholeHalf = ask("wholehalf-1");
+        assertTrue(wholeHalf, wholeHalf.startsWith("HTTP/1.1 502") && !wholeHalf.contains("choices"));
         String cut = ask("cut-1");
         // Between speakers of one dialect the framing decides; a translated stream needs its last event.
         assertEquals(cut, client == target, cut.contains("\r\n0\r\n"));
@@ -210,8 +226,8 @@
         until("no forward is left out", () -> out.get() == 0 && rig.node.open() == 0);
 
         int cutServed = client == target ? 1 : 0;
-        assertEquals(Map.of("served", 3 + cutServed, "refused", 1, "failed", 2, "broken", 2 - cutServed, "gone", 1, "rejected", 1), ends(10));
-        assertEquals(10, standIn.requests.size());
+        assertEquals(Map.of("served", 3 + cutServed, "refused", 1, "failed", 3, "broken", 3 - cutServed, "gone", 1, "rejected", 1), ends(12));
+        assertEquals(12, standIn.requests.size());
         assertTrue(log.get(0), log.get(0).startsWith("<134>1 ") && log.get(0).contains(" [flow@32473 id=\"served-1\" team=\"t\"")
                 && log.get(0).contains("tokens=\"7\""));
         assertTrue(log.get(1), log.get(1).contains("skipped=\"2\""));
