--- a/lab/src/main/java/fawnlb/lab/scenario/StartWithoutDiscovery.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StartWithoutDiscovery.java
@@ -184,7 +184,7 @@
                 if (warm) {
                     roster[0].replace(99, members(boxes.subList(5, LISTED), Phase.READY));
                 } else {
-                    change(boxes);
+                    timeline(boxes, roster[0], outage).play(timers);
                     List<Member> now = new ArrayList<>(members(boxes.subList(5, LISTED + NEW), Phase.READY));
                     now.addAll(members(boxes.subList(3, 5), Phase.DRAINING));
                     roster[0].replace(7, now);
@@ -204,15 +204,6 @@
             byName.forEach((name, node) -> addresses.put(name, node.address()));
             Clients clients = new Clients(callers.getIoThread(), clock, rules, addresses, seconds + 1, seed);
             on(callers, () -> clients.play(turns));
-            if (!warm) {
-                timers.after(outage * S, () -> {
-                    try {
-                        roster[0].up();
-                    } catch (IOException e) {
-                        throw new IllegalStateException("the roster can't come back", e);
-                    }
-                });
-            }
             TimeUnit.SECONDS.sleep(seconds + 1);
             for (int i = 0; i < 150 && clients.open() > 0; i++) {
                 TimeUnit.MILLISECONDS.sleep(100);
@@ -241,16 +232,18 @@
         }
     }
 
-    /** What has become of the remembered boxes since. */
-    private static void change(List<EngineServer> boxes) throws IOException {
-        boxes.get(0).die();
-        boxes.get(1).die();
-        boxes.get(2).vanish();
-        boxes.get(3).drain();
-        boxes.get(4).drain();
-        boxes.get(5).replace(id(LISTED + NEW));
-        boxes.get(6).restart();
-        boxes.get(7).restart();
+    /** What has become of the remembered boxes since, and when the roster is back. */
+    private static Timeline timeline(List<EngineServer> boxes, RosterServer roster, int outage) {
+        return new Timeline().at(0, "two boxes refuse connects", () -> {
+            boxes.get(0).die();
+            boxes.get(1).die();
+        }).at(0, "one falls silent", () -> boxes.get(2).vanish()).at(0, "two drain", () -> {
+            boxes.get(3).drain();
+            boxes.get(4).drain();
+        }).at(0, "another is at the address of one", () -> boxes.get(5).replace(id(LISTED + NEW))).at(0, "two start anew", () -> {
+            boxes.get(6).restart();
+            boxes.get(7).restart();
+        }).at(outage, "the roster is back", roster::up);
     }
 
     private static String id(int number) {
