--- a/lab/src/main/java/fawnlb/lab/scenario/SnapshotCrash.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/SnapshotCrash.java
@@ -7,13 +7,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.apache.commons.math3.random.Well19937c;
 
@@ -78,11 +76,7 @@
                 revision = said + 2;
             }
         } finally {
-            try (Stream<Path> files = Files.walk(folder)) {
-                for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(path);
-                }
-            }
+            Folders.delete(folder);
         }
         return count;
     }
--- a/lab/src/main/java/fawnlb/lab/scenario/StartTime.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StartTime.java
@@ -71,10 +71,7 @@
             if (halver != null) {
                 halver.destroyForcibly();
             }
-            for (String name : new String[] {"n0.json", "n0.log"}) {
-                Files.deleteIfExists(folder.resolve(name));
-            }
-            Files.delete(folder);
+            Folders.delete(folder);
         }
     }
 }
--- a/lab/src/main/java/fawnlb/lab/scenario/StartWithoutDiscovery.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StartWithoutDiscovery.java
@@ -19,7 +19,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +27,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.apache.commons.math3.random.Well19937c;
@@ -224,11 +222,7 @@
             on(fleet, () -> boxes.forEach(EngineServer::close));
             fleet.shutdownNow();
             callers.shutdownNow();
-            try (Stream<Path> files = Files.walk(folder)) {
-                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(file);
-                }
-            }
+            Folders.delete(folder);
         }
     }
 
