One piece where scenarios repeated themselves, and no work where nothing asks for it

Cause: read once more, the streams' change held twins and dead parts. Three scenarios drew boxes, counted their capacity and played turns with the same lines; three took a median each in their own way; the lab asked the admin listener by hand beside `AdminClient`; both fronts chose between 502 and 504 with the same line.

Change: `Stage.draw`, `Stage.capacity` and `Stage.play`, `StatUtils.percentile`, `AdminClient` and `Replies.failedStatus` serve all of them. The table of a stream's life loses a pair that can't come, `Stream` a value that nothing read and a condition that the table holds already.

One difference: `stalled-boxes` waits up to 15 s for the last turns to end, as `start-without-discovery` does, in place of 20 s.

--- a/lab/src/main/java/fawnlb/lab/cli/Main.java
+++ b/lab/src/main/java/fawnlb/lab/cli/Main.java
@@ -5,8 +5,8 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import fawnlb.lab.scenario.Scenario;
-import fawnlb.lab.scenario.SnapshotCrash;
 import fawnlb.lab.scenario.SlowReaders;
+import fawnlb.lab.scenario.SnapshotCrash;
 import fawnlb.lab.scenario.StalledBoxes;
 import fawnlb.lab.scenario.StartTime;
 import fawnlb.lab.scenario.StartWithoutDiscovery;
@@ -16,8 +16,8 @@
 
 /** The lab's command line. */
 public final class Main {
-    private static final List<Scenario> SCENARIOS = List.of(new StartWithoutDiscovery(), new SnapshotCrash(), new StartTime(), new StreamFaults(),
-            new StalledBoxes(), new SlowReaders());
+    private static final List<Scenario> SCENARIOS = List.of(new StartWithoutDiscovery(), new SnapshotCrash(), new StartTime(),
+            new StreamFaults(), new StalledBoxes(), new SlowReaders());
 
     private Main() { }
 
--- a/lab/src/main/java/fawnlb/lab/scenario/Stage.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/Stage.java
@@ -7,6 +7,8 @@
 import fawnlb.lab.engine.EngineServer;
 import fawnlb.lab.engine.Kind;
 import fawnlb.lab.engine.Speech;
+import fawnlb.lab.load.Clients;
+import fawnlb.lab.load.Plan;
 import fawnlb.lab.node.NodeProcess;
 import fawnlb.lab.roster.RosterServer;
 import fawnlb.lab.rules.RuleChecker;
@@ -21,6 +23,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.apache.commons.math3.random.RandomGenerator;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -34,6 +37,9 @@
     private static final int ATTEMPTS = 6;
     private static final long GRACE = 750_000_000;
     private static final int READY = 20;
+    private static final int FULL_RATE_PERCENT = 53;
+    /** Tenths of a second that turns may take to end after the last has been asked. */
+    private static final int LAST_ENDS = 150;
 
     final Path folder;
     final XnioWorker fleet;
@@ -71,6 +77,18 @@
         return box;
     }
 
+    /** So many boxes more, of the two kinds as the operators have them. */
+    void draw(int count, RandomGenerator random) throws IOException {
+        for (int i = 0; i < count; i++) {
+            box(Kind.draw(random.nextInt(100) < FULL_RATE_PERCENT, random), Speech.CHAT);
+        }
+    }
+
+    /** Turns a second that these boxes can serve; {@code unread}: of a turn's prompt, the part that is not found kept. */
+    static double capacity(List<EngineServer> boxes, double unread) {
+        return boxes.stream().mapToDouble(box -> 1000 / box.kind().work(Plan.MEAN_PROMPT * unread, Plan.MEAN_OUT)).sum();
+    }
+
     /** Boxes as the roster lists them. */
     static List<Member> members(List<EngineServer> boxes, Phase phase) {
         return boxes.stream().map(box -> new Member(box.id(), "127.0.0.1", box.address().getPort(),
@@ -121,6 +139,18 @@
         return addresses;
     }
 
+    /** Plays the turns to their ends. */
+    Clients play(List<Plan.Turn> turns, int seconds, long seed) throws Exception {
+        Clients clients = new Clients(callers.getIoThread(), clock, rules, addresses(), seconds + 1, seed);
+        on(callers, () -> clients.play(turns));
+        TimeUnit.SECONDS.sleep(seconds + 1);
+        for (int i = 0; i < LAST_ENDS && clients.open() > 0; i++) {
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        check();
+        return clients;
+    }
+
     /** An error if a node has ended by itself. */
     void check() throws IOException {
         for (NodeProcess node : nodes) {
--- a/lab/src/main/java/fawnlb/lab/scenario/StartTime.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StartTime.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.apache.commons.math3.stat.descriptive.rank.Median;
+import org.apache.commons.math3.stat.StatUtils;
 
 /**
  * From a node's process start to its first 200 at {@code /health/ready}, on half a core: the process is held to one
@@ -49,7 +49,7 @@
     }
 
     private static double median(List<Double> values) {
-        return new Median().evaluate(values.stream().mapToDouble(v -> v).toArray());
+        return StatUtils.percentile(values.stream().mapToDouble(v -> v).toArray(), 50);
     }
 
     private static double once(String command) throws Exception {
--- a/lab/src/main/java/fawnlb/lab/scenario/StreamFaults.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StreamFaults.java
@@ -1,5 +1,6 @@
 package fawnlb.lab.scenario;
 
+import fawnlb.admin.AdminClient;
 import fawnlb.dialect.Dialect;
 import fawnlb.lab.engine.EngineServer;
 import fawnlb.lab.engine.Kind;
@@ -150,11 +151,11 @@
                     stage.box(kind, messages ? Speech.MESSAGES : Speech.CHAT).spoil(id -> planned.get(id).next());
                 }
                 int front = NodeProcess.freePort();
-                int admin = NodeProcess.freePort();
+                InetSocketAddress admin = new InetSocketAddress("127.0.0.1", NodeProcess.freePort());
                 stage.start(1, 0, Map.of("broker", "{\"listen\":\"127.0.0.1:" + front + "\",\"message-kinds\":["
                         + (messages ? "\"slow-rate\"" : "") + "],\"teams\":[{\"name\":\"lab\",\"key\":\"k\",\"classes\":"
                         + "[\"advisor-chat\"],\"models\":[\"advisor\"],\"deadline-ms\":" + DEADLINE_MS + ",\"budget\":{\"requests\":"
-                        + "1000000000,\"tokens\":1000000000,\"window-ms\":60000}}]}", "streams", String.format(STREAMS, admin)));
+                        + "1000000000,\"tokens\":1000000000,\"window-ms\":60000}}]}", "streams", String.format(STREAMS, admin.getPort())));
                 asker = new Asker(stage.callers.getIoThread(), stage.clock, stage.rules, "n0",
                         new InetSocketAddress("127.0.0.1", front));
                 learn(stage);
@@ -170,9 +171,9 @@
                 boolean quiet = false;
                 for (int i = 0; i < 100 && !quiet; i++) {
                     TimeUnit.MILLISECONDS.sleep(100);
-                    quiet = NodeProcess.admin(admin, "/targets").contains("\n0 stream(s) open, 0 byte(s) held");
+                    quiet = AdminClient.targets(admin, false).contains("\n0 stream(s) open, 0 byte(s) held");
                 }
-                System.out.println("streams at the node, " + target + " targets:\n" + NodeProcess.admin(admin, "/targets"));
+                System.out.println("streams at the node, " + target + " targets:\n" + AdminClient.targets(admin, false));
                 return quiet;
             }
         }
--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -134,12 +134,11 @@
             listen(broker.listen(), new MessagesFront(flows, bodies, ids, settings, broker.contracts(), timers,
                     flowLog(thread, timers)));
         }
-        AdminFront admin = new AdminFront(streams, targets::address);
         if (stream.admin() != null) {
-            listen(stream.admin(), admin);
+            listen(stream.admin(), new AdminFront(streams, targets::address));
         }
         if (stream.figuresEvery() > 0) {
-            admin.logEvery(stream.figuresEvery(), timers);
+            new AdminFront(streams, targets::address).logEvery(stream.figuresEvery(), timers);
         }
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
--- a/node/src/main/java/fawnlb/client/Replies.java
+++ b/node/src/main/java/fawnlb/client/Replies.java
@@ -1,6 +1,7 @@
 package fawnlb.client;
 
 import fawnlb.stream.Ending;
+import io.undertow.util.StatusCodes;
 
 
 /** How a front words its answers, and what it wants to hear at the end of each. */
@@ -23,6 +24,11 @@
 
     Reply failed(Ending cause);
 
+    /** The status of a flow that failed: whether its last forward said nothing in time, or something wrong. */
+    static int failedStatus(Ending cause) {
+        return cause != null && cause.isLate() ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY;
+    }
+
     /** What a stream that breaks is closed with, in place of its last events; empty where the interface has no words for it. */
     default String broken(Ending cause) {
         return "";
--- a/node/src/main/java/fawnlb/messages/BrokerReplies.java
+++ b/node/src/main/java/fawnlb/messages/BrokerReplies.java
@@ -46,8 +46,7 @@
 
     @Override
     public Reply failed(Ending cause) {
-        return reply(cause != null && cause.isLate() ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY,
-                cause == null ? "failed" : "failed (" + cause.word() + ")");
+        return reply(Replies.failedStatus(cause), cause == null ? "failed" : "failed (" + cause.word() + ")");
     }
 
     @Override
--- a/node/src/main/java/fawnlb/platform/PlatformReplies.java
+++ b/node/src/main/java/fawnlb/platform/PlatformReplies.java
@@ -24,10 +24,6 @@
 
     @Override
     public Reply failed(Ending cause) {
-        return new Reply(status(cause), "text/plain", "failed\n");
-    }
-
-    private static int status(Ending cause) {
-        return cause != null && cause.isLate() ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY;
+        return new Reply(Replies.failedStatus(cause), "text/plain", "failed\n");
     }
 }
--- a/node/src/main/java/fawnlb/stream/Life.java
+++ b/node/src/main/java/fawnlb/stream/Life.java
@@ -33,7 +33,7 @@
                 .on(Signal.GIVEN_UP, State.BROKEN).on(Signal.LAST, State.LAST_PIECE).on(Signal.OVER, State.BROKEN)
                 .on(Signal.CLOSED, State.ENDED);
         in(State.LAST_PIECE).on(Signal.LAGS, State.LAST_PIECE).on(Signal.TAKES, State.LAST_PIECE)
-                .on(Signal.TOOK, State.LAST_PIECE).on(Signal.IDLE, State.LAST_PIECE).on(Signal.GIVEN_UP, State.BROKEN)
+                .on(Signal.TOOK, State.LAST_PIECE).on(Signal.GIVEN_UP, State.BROKEN)
                 .on(Signal.OVER, State.BROKEN).on(Signal.CLOSED, State.ENDED);
         in(State.BROKEN).on(Signal.CLOSED, State.ENDED);
         in(State.ENDED);
--- a/node/src/main/java/fawnlb/stream/Stream.java
+++ b/node/src/main/java/fawnlb/stream/Stream.java
@@ -113,7 +113,6 @@
         place = Place.MIDWAY;
         heard(now);
         waiting = false;
-        tookAt = now;
         hold(bytes);
         on(Signal.PIECE);
     }
@@ -301,9 +300,7 @@
             }
             return;
         }
-        if (state != State.STALLED && state != State.TURNED_AWAY) {
-            on(Signal.UNUSUAL);
-        }
+        on(Signal.UNUSUAL);
         if (now >= cutAt()) {
             gaveUpAt = now;
             giveUp(End.STALLED, Signal.SILENCE);
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -536,7 +536,7 @@
             Translation read = translation != null ? translation : witness;
             if (streaming) {
                 parcel.tally().note(dialect, read == null ? 0 : read.skipped(), read == null ? 0 : read.tokens(),
-                        tail.finished(dialect));
+                        parcel.tally().counts() && tail.finished(dialect));
             }
             String load = head == null ? "" : tail.load().isEmpty() ? head.header("x-load") : tail.load();
             Ending ending = stream.ending();
