Walk past a lost zone as one, and let failed connects cost no retry credit

In a trace of all 14 nodes, from the loss of the zone on 54 to 89 connects a second failed, each after 250 ms, and 80 to 89 of 100 to 142 requests a second were refused at once and came again (20 to 66 repeats a second), while half of the engines had room.

At fault: Choice.again charged a failed connect to the retry budget (one for every five requests, five at once), though it met no engine; and Choice.judge learned each engine of the zone by itself, at each node, again after each second.

Now three engines of one zone that fail to connect, with no answer from the zone in between, are taken for the zone: all of it is walked past but for a try a second, and an answer ends it. A failed connect takes no credit; six attempts in all still hold. It never acts where there is one zone.

Both tests fail without it.

--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * All decisions of one router. The interface (settings, events, actions) is decision.Balancer.
@@ -211,45 +213,25 @@
 
     // ---- Ring and cap ---------------------------------------------------------------------------------
 
-    private long[] points = new long[0];
-    private Node[] owners = new Node[0];
+    /** A point of the ring. */
+    private record Point(long at, long id, Node owner) { }
+
+    private static final Comparator<Point> CLOCKWISE =
+            Comparator.comparingLong(Point::at).thenComparingLong(Point::id);
+    private Point[] ring = new Point[0];
     private long visits;
     private int total;
 
-    /** Merges the points of the given replicas into the ring; the result does not depend on history. */
+    /** Adds the points of the given replicas to the ring; the result does not depend on history. */
     private void insert(List<Node> joined) {
-        record Point(long at, Node owner) { }
-        Point[] added = new Point[joined.size() * POINTS];
-        for (int i = 0; i < added.length; i++) {
-            Node node = joined.get(i / POINTS);
-            added[i] = new Point(mix(mix(node.id) + i % POINTS), node);
-        }
-        Arrays.sort(added, Comparator.comparingLong(Point::at).thenComparingLong(p -> p.owner().id));
-        int size = points.length + added.length;
-        long[] at = new long[size];
-        Node[] owner = new Node[size];
-        for (int i = 0, old = 0, add = 0; i < size; i++) {
-            boolean take = add == added.length || old < points.length && (points[old] < added[add].at()
-                    || points[old] == added[add].at() && owners[old].id < added[add].owner().id);
-            at[i] = take ? points[old] : added[add].at();
-            owner[i] = take ? owners[old++] : added[add++].owner();
-        }
-        points = at;
-        owners = owner;
+        Stream<Point> added = joined.stream().flatMap(node -> IntStream.range(0, POINTS)
+                .mapToObj(i -> new Point(mix(mix(node.id) + i), node.id, node)));
+        ring = Stream.concat(Arrays.stream(ring), added).sorted(CLOCKWISE).toArray(Point[]::new);
     }
 
     private void removeGone() {
-        int size = 0;
-        for (int i = 0; i < points.length; i++) {
-            if (owners[i].phase != Phase.GONE) {
-                points[size] = points[i];
-                owners[size++] = owners[i];
-            } else {
-                owners[i].onRing = false;
-            }
-        }
-        points = Arrays.copyOf(points, size);
-        owners = Arrays.copyOf(owners, size);
+        ring = Arrays.stream(ring).filter(point -> point.owner().phase != Phase.GONE).toArray(Point[]::new);
+        nodes.values().forEach(node -> node.onRing &= node.phase != Phase.GONE);
         nodes.values().removeIf(node -> node.phase == Phase.GONE && node.inFlight == 0);
     }
 
@@ -269,12 +251,8 @@
 
     /** The index of the first point at or clockwise of the key's hash. */
     private int start(long key) {
-        int i = Arrays.binarySearch(points, mix(key));
-        while (i > 0 && points[i - 1] == points[i]) {
-            i--;
-        }
-        i = i < 0 ? -i - 1 : i;
-        return i == points.length ? 0 : i;
+        int i = -1 - Arrays.binarySearch(ring, new Point(mix(key), Long.MIN_VALUE, null), CLOCKWISE);
+        return i == ring.length ? 0 : i;
     }
 
     private Node walk(Task task) {
@@ -285,7 +263,7 @@
     /** Walks clockwise to the first replica that may take the task and is below the cap, else to the first
      *  that may take it; null if none. Near: only replicas of this router's zone are met and counted. */
     private Node walk(Task task, boolean near) {
-        if (points.length == 0) {
+        if (ring.length == 0) {
             return null;
         }
         int replicas = near ? nearReady : warmReady();
@@ -296,9 +274,9 @@
         double usualPace = middle(this::paceOf);
         long mark = ++visits;
         int left = near ? nearReady : ready;
-        for (int i = at, seen = 0; seen < points.length && left > 0; seen++) {
-            Node node = owners[i];
-            i = i + 1 == points.length ? 0 : i + 1;
+        for (int i = at, seen = 0; seen < ring.length && left > 0; seen++) {
+            Node node = ring[i].owner();
+            i = i + 1 == ring.length ? 0 : i + 1;
             if (node.visit == mark || node.phase != Phase.READY || near && node.zone != settings.zone()) {
                 continue;
             }
@@ -307,7 +285,8 @@
             if (!permitted(task, node) || task.tried(node)) {
                 continue;
             }
-            if (node.suspectUntil > now || node.cold && now < node.coldNextAt || node.waiting >= node.room) {
+            boolean rests = node.suspectUntil > now || node.cold && now < node.coldNextAt;
+            if (rests || lost(node) || node.waiting >= node.room) {
                 continue;
             }
             if (node.inFlight < capOf(node, limit, task, usualPace) && keeps(key, node, usualPace)) {
@@ -324,9 +303,8 @@
     // ---- Exceptions -----------------------------------------------------------------------------------
 
     /**
-     * Quiet router: with few attempts in flight the cap falls to one, and a router's second request for a
-     * replica would leave its kept beginning for a neighbour that other routers pick at the same moment. So
-     * the cap is never below this; it acts while 1.25 times the own total is below a ready replica's one.
+     * Quiet router: at a cap of one, a second request for a replica would leave its kept beginning for a
+     * neighbour that other routers pick at the same moment. So the cap is never below this.
      */
     static final int QUIET_CAP = 2;
 
@@ -642,7 +620,6 @@
         final long session;
         final double work;
         final double tokens;
-        final long deadline;
         final double aim;
         final long lastUse;
         final List<Attempt> attempts = new ArrayList<>(2);
@@ -658,7 +635,7 @@
             double prompt = sane(request.promptTokens());
             this.tokens = 1 + sane(request.maxTokens());
             this.work = prompt + tokens;
-            this.deadline = now + Math.max(0, Math.min(request.expiresIn(), Long.MAX_VALUE - now));
+            long deadline = now + Math.max(0, Math.min(request.expiresIn(), Long.MAX_VALUE - now));
             this.aim = type.aim() + prompt * type.aimPerToken();
             this.lastUse = type.lateWorth() > 0 || aim >= deadline - now ? deadline : now + (long) aim;
         }
@@ -693,7 +670,7 @@
     private double retryCredit = RETRY_BURST;
 
     /** Retry budget: one further attempt for every five requests, and a few at once. It guards against
-     *  retry storms and always holds. */
+     *  retry storms and always holds, but for attempts that never met a replica and cost none any work. */
     static final double RETRY_PART = 0.2;
     static final double RETRY_BURST = 5;
 
@@ -845,9 +822,10 @@
 
     /** All attempts so far have failed: one more within the rules and the budget, else the final answer. */
     private void again(Task task, Outcome outcome) {
-        boolean budget = retryCredit >= 1 && task.attempts.size() < settings.limits().attempts();
+        boolean free = outcome == Outcome.CONNECT_FAILED;
+        boolean budget = (free || retryCredit >= 1) && task.attempts.size() < settings.limits().attempts();
         if (budget && outcome != Outcome.CANCELLED && now < task.lastUse) {
-            retryCredit--;
+            retryCredit -= free ? 0 : 1;
             place(task);
         } else {
             giveUp(task);
@@ -905,6 +883,7 @@
     // ---- Health ---------------------------------------------------------------------------------------
 
     private void answered(Node node, boolean whole) {
+        lostCount = node.zone == lostZone ? 0 : lostCount;
         node.stalls = whole ? 0 : node.stalls;
         node.failures = node.stalls;
         node.suspectUntil = node.stalls > 0 ? node.suspectUntil : 0;
@@ -922,12 +901,30 @@
                 || outcome == Outcome.CONNECT_FAILED || outcome == Outcome.STALLED && streaming) {
             node.stalls += outcome == Outcome.STALLED ? 2 : 0;
             node.failures = Math.max(node.failures + 1, node.stalls);
+            if (outcome == Outcome.CONNECT_FAILED && (node.failures == 1 || lostCount >= LOST)) {
+                lostCount = node.zone == lostZone ? lostCount + 1 : 1;
+                lostZone = node.zone;
+                lostUntil = now + SECOND;
+            }
             if (node.failures > 1 || outcome == Outcome.CONNECT_FAILED) {
                 node.suspectUntil = now + (SECOND << Math.min(node.failures - 1, 4));
             }
         }
     }
 
+    /**
+     * Lost zone: its replicas would each have to fail to connect once, at every router. When LOST of them
+     * have and none has answered since, all are walked past but for a try a second; an answer ends it.
+     */
+    static final int LOST = 3;
+    private int lostZone = -1;
+    private int lostCount;
+    private long lostUntil;
+
+    private boolean lost(Node node) {
+        return zones > 1 && lostCount >= LOST && node.zone == lostZone && now < lostUntil;
+    }
+
     // ---- Timers ---------------------------------------------------------------------------------------
 
     private void timerDue(int token) {
--- a/node/src/test/java/fawnlb/policy/ExceptionsTest.java
+++ b/node/src/test/java/fawnlb/policy/ExceptionsTest.java
@@ -50,6 +50,53 @@
         assertEquals(home, rig.home(8));
     }
 
+    /** Three replicas of a zone that can't be reached tell of all, as long as none of them answers. */
+    @Test
+    void aLostZoneIsWalkedPastAsOneUntilAReplicaOfItAnswers() {
+        for (int zones = 1; zones <= 2; zones++) {
+            Rig rig = new Rig(Rig.safe());
+            int several = zones;
+            rig.list(ListKind.FULL, java.util.stream.LongStream.rangeClosed(1, 40)
+                    .mapToObj(id -> replica(id, Phase.READY, 0, (int) (id % several))).toArray(Balancer.Replica[]::new));
+            Set<Long> unreachable = new HashSet<>();
+            for (long session = 1; unreachable.size() < 3; session++) {
+                rig.request(0, session);
+                if (rig.last().replica() % several == several - 1) {
+                    unreachable.add(rig.last().replica());
+                    rig.end(rig.last(), 0, Outcome.CONNECT_FAILED, true);
+                } else {
+                    rig.end(rig.last(), 0, Outcome.SERVED, true);
+                }
+            }
+            assertEquals(zones == 1, sentTo(rig, several));
+            rig.now += S;
+            assertTrue(sentTo(rig, several), "tried again after a second");
+            assertTrue(sentTo(rig, several), "answers end it");
+        }
+    }
+
+    /** Whether any of 60 requests, all of them answered, goes to the last of so many zones. */
+    private static boolean sentTo(Rig rig, int zones) {
+        boolean sent = false;
+        for (long session = 1000; session < 1060; session++) {
+            sent |= rig.home(session) % zones == zones - 1;
+        }
+        return sent;
+    }
+
+    @Test
+    void connectsThatFailCostNoRetryCredit() {
+        Rig rig = new Rig(Rig.safe()).ready(20);
+        for (long session = 1; session <= 40; session++) {
+            rig.now += S;
+            rig.request(0, session);
+            rig.end(rig.last(), 0, Outcome.CONNECT_FAILED, false);
+            rig.end(rig.last(), 1, Outcome.SERVED, true);
+        }
+        assertEquals(80, rig.sends().size());
+        assertEquals(0, rig.all(Refuse.class).size());
+    }
+
     @Test
     void aColdReplicaIsSentLittleAtFirstAndItsPartOnceWarm() {
         Rig rig = new Rig(Rig.safe()).ready(4);
