--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -312,9 +312,11 @@
      * Hot prefix: one prefix that draws more than the cap lets a replica carry would be spilled by every
      * router to the same neighbours. While its part of this router's last requests is above SLOT of a
      * replica's part, its sessions are dealt over so many places on the ring that each stays below that; each
-     * place reads the prefix once. A router that has seen few requests counts two more for each replica.
+     * place reads the prefix once. A router believes a part seen in DOUBT requests by half; DOUBT does not
+     * grow with the fleet, since what a router sees doesn't, and all would leave a hot prefix whole.
      */
     static final double SLOT = 0.25;
+    static final double DOUBT = 16;
     static final int RECENT = 8;
     private final ArrayDeque<Task> recent = new ArrayDeque<>();
     private final Map<Long, double[]> recentByKey = new HashMap<>();
@@ -339,7 +341,7 @@
     private long ringKey(Task task, int replicas) {
         double seen = recent.size();
         double[] sum = task.key == task.session ? null : recentByKey.get(task.key);
-        double need = sum == null ? 1 : sum[0] / recentWork * replicas / SLOT * seen / (seen + 2 * replicas);
+        double need = sum == null ? 1 : sum[0] / recentWork * replicas / SLOT * seen / (seen + DOUBT);
         long places = 1;
         while (places < need) {
             places *= 2;
