Wait for the first event of a prompt whose length was not met yet

Cause: Usual.wait multiplied the middle wait at that length, 0 while none was met, by Long.MAX_VALUE, "not known": 0, so that Stream.firstUnusualAt took the least wait of 500 ms. A node with thousands of requests has met all lengths; one of 100 nodes meets 17 requests in all. Ruled out: the target's silence (it went on to answer others), the module's own stop (750 ms at the least), connects.

The test fails without the change (it was due after 500 ms).

--- a/node/src/main/java/fawnlb/stream/Usual.java
+++ b/node/src/main/java/fawnlb/stream/Usual.java
@@ -73,10 +73,12 @@
         return (long) either(own == null ? null : own.gaps, fleet.gaps, phi);
     }
 
-    /** The same for the wait for the first event. */
+    /** The same for the wait for the first event; of a prompt of a length not met yet nothing is known either. */
     long wait(long target, double promptTokens, double phi) {
         Own own = targets.get(target);
-        return (long) Math.min(Long.MAX_VALUE, typicalWait(promptTokens) * either(own == null ? null : own.waits, fleet.waits, phi));
+        long typical = typicalWait(promptTokens);
+        return typical == 0 ? Long.MAX_VALUE
+                : (long) Math.min(Long.MAX_VALUE, typical * either(own == null ? null : own.waits, fleet.waits, phi));
     }
 
     /** The middle wait with prompts of this length, 0 while there has been none. */
--- a/node/src/test/java/fawnlb/stream/StreamsTest.java
+++ b/node/src/test/java/fawnlb/stream/StreamsTest.java
@@ -201,6 +201,21 @@
     }
 
     /** Waits that were given up count as at least as long, or what is allowed would shrink with every one of them. */
+    /** A node of a large fleet meets most lengths of prompt for the first time; nothing is known of them. */
+    @Test
+    public void aPromptOfALengthNotMetYetIsNotGivenUpForBeingSlow() {
+        for (double length : new double[] {1, 300, 2100, 30_000}) {
+            for (int taught = 0; taught < 2; taught++) {
+                Streams all = new Streams(RULES);
+                if (taught == 1) {
+                    teach(all, 1, 40, 100, new Random(5));
+                }
+                Stream stream = all.open(now, 1, length, now + 8 * S, true, true, owner);
+                assertEquals("length " + length + ", others taught: " + taught, Stream.NEVER, stream.wakeAt());
+            }
+        }
+    }
+
     @Test
     public void whatIsAllowedFollowsAFleetThatSlowsDown() {
         Random random = new Random(5);
