--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -51,6 +51,8 @@
         this.typicalStream = new double[settings.classes().size()];
         this.streamsSeen = new int[settings.classes().size()];
         this.random = new SplittableRandom(mix(seed));
+        this.retryBurst = Math.max(1, RETRY_BURST / Math.max(1, settings.routers()));
+        this.retryCredit = retryBurst;
     }
 
     @Override
@@ -669,12 +671,13 @@
     private final Map<Long, Task> tasks = new HashMap<>();
     private final ArrayDeque<Task> held = new ArrayDeque<>();
     private boolean heldTimer;
-    private double retryCredit = RETRY_BURST;
+    private final double retryBurst;
+    private double retryCredit;
 
-    /** Retry budget: one further attempt for every five requests, and a few at once. It guards against
-     *  retry storms and always holds, but for attempts that never met a replica and cost none any work. */
+    /** Retry budget: one further attempt for every five requests, and so many at once by all routers, one by
+     *  each at least. It always holds, but for attempts that never met a replica and cost none any work. */
     static final double RETRY_PART = 0.2;
-    static final double RETRY_BURST = 5;
+    static final double RETRY_BURST = 10;
 
     private void arrived(Request request) {
         warmUp();
@@ -683,7 +686,7 @@
                 ? settings.classes().get(index) : UNKNOWN_CLASS;
         Task task = new Task(request, type, now);
         tasks.put(request.id(), task);
-        retryCredit = Math.min(RETRY_BURST, retryCredit + RETRY_PART);
+        retryCredit = Math.min(retryBurst, retryCredit + RETRY_PART);
         remember(task);
         countTenant(request.tenant());
         if (sheds(task)) {
--- a/node/src/test/java/fawnlb/policy/FleetTest.java
+++ b/node/src/test/java/fawnlb/policy/FleetTest.java
@@ -133,6 +133,28 @@
         }
     }
 
+    /** A few retries at once are little from each router; in a fleet where nearly each request is one's first, they double it. */
+    @Test
+    public void whatAllRoutersRetryAtOnceDoesNotGrowWithTheFleet() {
+        for (int routers : new int[] {1, 2, 14, 100}) {
+            int sent = 0;
+            int each = 10;
+            for (int me = 0; me < routers; me++) {
+                Rig rig = new Rig(Rig.routers(routers, me)).ready(30);
+                for (int i = 0; i < each; i++) {
+                    rig.request(0, 1000 + i);
+                    for (int attempt = 0, before = 0; attempt < 4 && rig.sends().size() > before; attempt++) {
+                        before = rig.sends().size();
+                        rig.end(rig.last(), attempt, Outcome.ERROR, false);
+                    }
+                }
+                sent += rig.sends().size();
+            }
+            double most = routers * each * (1 + Choice.RETRY_PART) + Math.max(routers, Choice.RETRY_BURST);
+            assertTrue(routers + " routers: " + sent + " of " + most, sent <= most);
+        }
+    }
+
     /** No router has seen much of any one replica; what it has seen of the kind tells, and all tell the same. */
     @Test
     public void replicasOfASlowerKindAreSentLessBeforeAnyRouterKnowsThemWell() {
