--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -51,8 +51,7 @@
         this.typicalStream = new double[settings.classes().size()];
         this.streamsSeen = new int[settings.classes().size()];
         this.random = new SplittableRandom(mix(seed));
-        this.retryBurst = Math.max(1, RETRY_BURST / Math.max(1, settings.routers()));
-        this.retryCredit = retryBurst;
+        this.retryBurst = this.retryCredit = Math.max(1, RETRY_BURST / Math.max(1, settings.routers()));
     }
 
     @Override
@@ -314,11 +313,13 @@
      * Hot prefix: one prefix that draws more than the cap lets a replica carry would be spilled by every
      * router to the same neighbours. While its part of this router's last requests is above SLOT of a
      * replica's part, its sessions are dealt over so many places on the ring that each stays below that; each
-     * place reads the prefix once. A router believes a part seen in DOUBT requests by half; DOUBT does not
-     * grow with the fleet, since what a router sees doesn't, and all would leave a hot prefix whole.
+     * place reads the prefix once. Places lump by chance: from this MANY of the replicas on each session is
+     * one. A router believes a part seen in DOUBT requests by half; DOUBT does not grow with the fleet, since
+     * what a router sees doesn't, and all would leave a hot prefix whole.
      */
     static final double SLOT = 0.25;
     static final double DOUBT = 16;
+    static final double MANY = 0.25;
     static final int RECENT = 8;
     private final ArrayDeque<Task> recent = new ArrayDeque<>();
     private final Map<Long, double[]> recentByKey = new HashMap<>();
@@ -349,8 +350,8 @@
             places *= 2;
         }
         long place = mix(~task.session) & places - 1;
-        boolean all = places > 1 && places >= replicas;
-        return all ? task.session : place == 0 ? task.key : mix(task.key + place);
+        long key = place == 0 ? task.key : mix(task.key + place);
+        return places > 1 && places >= MANY * replicas ? task.session : key;
     }
 
     /**
