Ask an absent discovery once at a time, and accept no more than there are descriptors for

[15.12] INFO fawnlb.discovery.Discovery: discovery: watch broken [25.99] INFO fawnlb.discovery.Discovery: discovery: watch no connection

with 5, 3, 2, 6, 2, 15, 27, 23, 43, 43, 74 such lines a second from 15 s on at n0. Choice.askForList set a timer for a call without an answer and Choice.follow one for the call that failed, and either alone led to the next call: two timers for each call. Ruled out: the actor of the list, which makes one call for each that it is asked for. Now the timer set last counts. FleetTest fails without this with "1 routers: 101 calls in second 110", and passes with it for 1, 2, 14 and 100 routers over a minute.

Second, from reading the accept path: XNIO accepts on a thread of its own, 128 connections in a go, while the limit on clients' connections is kept on the I/O thread. Without a descriptor left it backs off by 250 ms to 30 s.

The listener now stops at the number of connections that there are descriptors for, and what comes beyond waits in the kernel's queue until one has closed.

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -73,8 +73,12 @@
     private static final int BACKLOG = 1000;
     /** Linux would hold megabytes for a client that does not read, and hide from the node that it does not. */
     private static final int SEND_BUFFER = 64 * 1024;
-    /** Descriptors for jars, selectors, listeners, the list, the log and connections kept only to be refused. */
+    /**
+     * Descriptors for all else: 22 of the process (jars, selectors, log), 6 of listeners, syslog and snapshot, 4 of the list
+     * and a configuration that is read again, 12 connections kept only to be refused, 4 of operators.
+     */
     private static final int RESERVED = 48;
+    private static final int OPERATORS = 4;
     private static final Replies.Reply NO_ROOM = new Replies.Reply(StatusCodes.SERVICE_UNAVAILABLE, "text/plain",
             "no room for more connections; try again later\n");
 
@@ -129,13 +133,14 @@
         BodyReader bodies = new BodyReader();
         OpenIds ids = new OpenIds();
         front = new PlatformFront(flows, bodies, ids, settings, !messageKinds().isEmpty());
-        listen(config.listen(), front);
+        int each = connections.mostAccepted() / (broker == null ? 1 : 2);
+        listen(config.listen(), front, each);
         if (broker != null) {
             listen(broker.listen(), new MessagesFront(flows, bodies, ids, settings, broker.contracts(), timers,
-                    flowLog(thread, timers)));
+                    flowLog(thread, timers)), each);
         }
         if (stream.admin() != null) {
-            listen(stream.admin(), new AdminFront(streams, targets::address));
+            listen(stream.admin(), new AdminFront(streams, targets::address), OPERATORS);
         }
         if (stream.figuresEvery() > 0) {
             new AdminFront(streams, targets::address).logEvery(stream.figuresEvery(), timers);
@@ -176,7 +181,11 @@
         return flows.open();
     }
 
-    private void listen(InetSocketAddress address, HttpHandler handler) throws IOException {
+    /**
+     * Most: connections that are accepted here and still open. Those beyond wait in the kernel's queue until one has closed;
+     * accepted without a descriptor to spare, none would be for 250 ms and longer, however many had closed by then.
+     */
+    private void listen(InetSocketAddress address, HttpHandler handler, int most) throws IOException {
         HttpOpenListener reader = new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER, 256, 0), OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD).set(UndertowOptions.MAX_HEADERS, MOST_HEADERS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS).set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
@@ -195,7 +204,8 @@
         AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(address,
                 ChannelListeners.openListenerAdapter((StreamConnection c) -> connections.accept(c, reader)),
                 OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, BACKLOG).set(Options.SEND_BUFFER, SEND_BUFFER).getMap());
+                        .set(Options.BACKLOG, BACKLOG).set(Options.SEND_BUFFER, SEND_BUFFER)
+                        .set(Options.CONNECTION_HIGH_WATER, most).getMap());
         server.resumeAccepts();
         servers.add(server);
     }
--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -22,7 +22,7 @@
  */
 public final class Connections {
     /** Connections over the limit, kept only to be told so. */
-    private static final int SPARE = 16;
+    private static final int SPARE = 12;
 
     /** Whether each is serving; those idle for longest come first. */
     private final Map<StreamConnection, Boolean> open = new LinkedHashMap<>();
@@ -34,6 +34,14 @@
         this.most = most;
     }
 
+    /**
+     * So many may be accepted at a time, those over the limit included. Another thread accepts than the one that makes
+     * room, and in a burst it would use up the descriptors of the process before the first of them is seen here.
+     */
+    public int mostAccepted() {
+        return most + SPARE;
+    }
+
     /** Takes a new connection and hands it to whoever reads it. */
     public void accept(StreamConnection connection, ChannelListener<? super StreamConnection> reader) {
         synchronized (this) {
--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -113,8 +113,7 @@
     private int zones;
     private int nearTotal;
     private boolean following;
-    private boolean asking;
-    private long askedAt;
+    private long nextAsk;
     private int failedCalls;
 
     private void listed(Listed news) {
@@ -169,26 +168,25 @@
 
     /** Keeps one subscription alive, and spreads the calls of many routers that lost theirs together. */
     private void follow(ListKind kind) {
-        asking &= kind == ListKind.CACHED;
-        if (kind == ListKind.DELTA || kind == ListKind.FULL) {
-            following = true;
-            failedCalls = 0;
-        } else {
-            following = false;
-            failedCalls += kind == ListKind.FAILED ? 1 : 0;
+        following = kind == ListKind.DELTA || kind == ListKind.FULL;
+        failedCalls = following ? 0 : failedCalls + (kind == ListKind.FAILED ? 1 : 0);
+        if (!following) {
             long spread = Math.min(settings.rules().askWithin() / 5, settings.routers() * (SECOND / 50));
             long wait = (long) (random.nextDouble() * (spread << Math.min(failedCalls, 4)));
-            sink.act(new Timer(now + Math.min(wait, settings.rules().askWithin() / 2), LIST_TIMER));
+            askAt(now + Math.min(wait, settings.rules().askWithin() / 2));
         }
     }
 
+    /** The last timer that was set counts: if all did, each call that fails would leave two behind. */
+    private void askAt(long at) {
+        nextAsk = at;
+        sink.act(new Timer(at, LIST_TIMER));
+    }
+
     private void askForList() {
-        long patience = settings.rules().askWithin() / 2;
-        if (!following && (!asking || now - askedAt >= patience)) {
-            asking = true;
-            askedAt = now;
+        if (!following && now + settings.tick() >= nextAsk) {
             sink.act(new Subscribe());
-            sink.act(new Timer(now + patience, LIST_TIMER));
+            askAt(now + settings.rules().askWithin() / 2);
         }
     }
 
--- a/node/src/test/java/fawnlb/cli/JarIT.java
+++ b/node/src/test/java/fawnlb/cli/JarIT.java
@@ -1,5 +1,8 @@
 package fawnlb.cli;
 
+import static fawnlb.cli.Launch.connect;
+import static fawnlb.cli.Launch.signal;
+import static fawnlb.cli.Launch.start;
 import static fawnlb.cli.StandIn.CHUNKED;
 import static fawnlb.cli.StandIn.chunk;
 import static fawnlb.cli.StandIn.head;
@@ -8,34 +11,19 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.BufferedReader;
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.Test;
 
 /** The jar as it is built, started as the deploy file starts it. */
 public class JarIT {
-    private static Process start(String command, String... arguments) throws IOException {
-        Matcher line = Pattern.compile("(?m)^run = \"(?:[A-Z_]+=\\S+ )*exec (.*) serve\"$").matcher(Files.readString(Path.of("../deploy/balancer.toml")));
-        assertTrue(line.find());
-        List<String> words = new ArrayList<>(List.of(line.group(1).split(" ")));
-        words.set(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        words.add(command);
-        words.addAll(List.of(arguments));
-        return new ProcessBuilder(words).directory(new File("..")).redirectErrorStream(true).start();
-    }
-
     private static String output(Process process, int code) throws Exception {
         String text = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
@@ -63,25 +51,6 @@
         }
     }
 
-    /** Connects to the front that the node's log names after these words. */
-    private static Socket connect(BufferedReader log, String words) throws IOException {
-        Pattern serves = Pattern.compile(words + " /?127\\.0\\.0\\.1:(\\d+)");
-        for (String line = log.readLine(); line != null; line = log.readLine()) {
-            Matcher matcher = serves.matcher(line);
-            if (matcher.find()) {
-                return connect(Integer.parseInt(matcher.group(1)));
-            }
-        }
-        throw new IOException("the node never served");
-    }
-
-    private static Socket connect(int port) throws IOException {
-        Socket socket = new Socket();
-        socket.connect(new InetSocketAddress("127.0.0.1", port));
-        socket.setSoTimeout(10_000);
-        return socket;
-    }
-
     private static String rest(Socket socket) throws IOException {
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
@@ -129,14 +98,14 @@
                  Socket any = connect(log, "serves on")) {
                 Rigged.until("listed", () -> served(any.getPort(), before));
                 Files.writeString(config, "{\"name\": ");
-                hangup(node);
+                signal(node, "HUP");
                 String line = log.readLine();
                 while (!line.contains("not reloaded")) {
                     line = log.readLine();
                 }
                 assertTrue(served(any.getPort(), before));
                 Files.writeString(config, Rigged.config("subscribe", second.address(), ""));
-                hangup(node);
+                signal(node, "HUP");
                 Rigged.until("moved", () -> served(any.getPort(), after));
                 assertTrue(second.requests.get(0).line().contains("watch=1"));
                 assertTrue(node.isAlive());
@@ -146,10 +115,6 @@
         }
     }
 
-    private static void hangup(Process node) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(node.pid())).start().waitFor());
-    }
-
     private static boolean served(int port, StandIn by) {
         int already = by.requests.size();
         try (Socket socket = connect(port)) {
@@ -180,7 +145,7 @@
                 assertTrue(begun.await(5, TimeUnit.SECONDS));
                 node.destroy();
                 // A new configuration may come in the middle of a planned end.
-                hangup(node);
+                signal(node, "HUP");
                 // New connections keep coming for a moment, and are served.
                 try (Socket late = connect(client.getPort())) {
                     write(late, Rigged.chat("late", 3000));
--- /dev/null
+++ b/node/src/test/java/fawnlb/cli/Launch.java
@@ -0,0 +1,58 @@
+package fawnlb.cli;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The program in a process of its own, as the deploy file starts it. */
+final class Launch {
+    private Launch() { }
+
+    static Process start(String command, String... arguments) throws IOException {
+        return within("unlimited", command, arguments);
+    }
+
+    /** Descriptors: as many as the process may hold, as {@code ulimit} has them. */
+    static Process within(String descriptors, String command, String... arguments) throws IOException {
+        Matcher line = Pattern.compile("(?m)^run = \"((?:[A-Z_]+=\\S+ )*)exec java (.*) serve\"$")
+                .matcher(Files.readString(Path.of("../deploy/balancer.toml")));
+        assertTrue(line.find());
+        String limit = descriptors.equals("unlimited") ? "" : "ulimit -n " + descriptors + " && ";
+        String text = limit + line.group(1) + "exec " + Path.of(System.getProperty("java.home"), "bin", "java") + ' '
+                + line.group(2) + ' ' + command + ' ' + String.join(" ", arguments);
+        return new ProcessBuilder("/bin/sh", "-c", text).directory(new File("..")).redirectErrorStream(true).start();
+    }
+
+    /** Sends a signal by its name; unlike {@link Process#destroy}, it leaves what the process says to be read. */
+    static void signal(Process process, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+    }
+
+    /** Connects to the front that the node's log names after these words. */
+    static Socket connect(BufferedReader log, String words) throws IOException {
+        Pattern serves = Pattern.compile(words + " /?127\\.0\\.0\\.1:(\\d+)");
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            Matcher matcher = serves.matcher(line);
+            if (matcher.find()) {
+                return connect(Integer.parseInt(matcher.group(1)));
+            }
+        }
+        throw new IOException("the node never served");
+    }
+
+    static Socket connect(int port) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
+        socket.setSoTimeout(10_000);
+        return socket;
+    }
+}
--- a/node/src/test/java/fawnlb/policy/FleetTest.java
+++ b/node/src/test/java/fawnlb/policy/FleetTest.java
@@ -173,4 +173,39 @@
             }
         }
     }
+
+    /**
+     * While discovery refuses each call at once, every router has one call in the making: with two timers left behind by
+     * each failure, two routers came from 5 calls a second to 100 within 11 s, and doubled that every 5 s from there on.
+     */
+    @Test
+    public void aDiscoveryThatStaysAwayIsNotAskedEverMoreOften() {
+        for (int routers : new int[] {1, 2, 14, 100}) {
+            PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+            Map<Long, Integer> calls = new HashMap<>();
+            long[] clock = {100 * Rig.S, 0};
+            for (int i = 0; i < routers; i++) {
+                Balancer[] module = new Balancer[1];
+                module[0] = new Choice(Rig.asking(routers, i), i, action -> {
+                    if (action instanceof Balancer.Timer timer) {
+                        queue.add(new Due(timer.at(), clock[1]++, () ->
+                                module[0].on(clock[0], new Balancer.TimerDue(timer.token()))));
+                    } else if (action instanceof Balancer.Subscribe) {
+                        calls.merge(clock[0] / Rig.S, 1, Integer::sum);
+                        queue.add(new Due(clock[0] + MS, clock[1]++, () ->
+                                module[0].on(clock[0], new Listed(ListKind.FAILED, 0, List.of()))));
+                    }
+                });
+                module[0].on(clock[0], new Listed(ListKind.CACHED, 1, List.of()));
+            }
+            while (clock[0] < 160 * Rig.S) {
+                Due due = queue.poll();
+                clock[0] = due.at();
+                due.what().run();
+                int now = calls.getOrDefault(clock[0] / Rig.S, 0);
+                assertTrue(routers + " routers: " + now + " calls in second " + clock[0] / Rig.S, now <= 100);
+            }
+            assertTrue(routers + " routers ask on", calls.getOrDefault(158L, 0) + calls.getOrDefault(159L, 0) > 0);
+        }
+    }
 }
--- a/node/src/test/java/fawnlb/policy/Rig.java
+++ b/node/src/test/java/fawnlb/policy/Rig.java
@@ -49,7 +49,15 @@
 
     /** The settings of one router of so many. */
     static Settings routers(int count, int me) {
-        Settings one = safe();
+        return routers(safe(), count, me);
+    }
+
+    /** The same where the list has to be asked for. */
+    static Settings asking(int count, int me) {
+        return routers(settings(Effect.SAFE, Group.ALL, Discovery.ASKED, new Costs(0, 0)), count, me);
+    }
+
+    private static Settings routers(Settings one, int count, int me) {
         return new Settings(me, count, one.zone(), one.tick(), one.resume(), one.discovery(), one.reports(), one.reportFields(),
                 one.classes(), one.tenants(), one.limits(), one.rules(), one.costs(), one.names(), one.connections());
     }
