Keep the heads and bodies of all clients within the heap, which ended the process

Seen on the released program, 1,024 descriptors, one node alone: 500 clients with heads of 62 headers that never end and 120 with bodies of 250 KB, targets that accept and do not read. After less than 2 s, two of two tries:

Terminating due to java.lang.OutOfMemoryError: Java heap space (exit status 3)

Measured: a head of 62 headers holds 30 KB of heap while it is read (15.7 KB sent), 22 KB with 7.7 KB sent, 500 clients each; a client without a byte sent 2.5 KB; the program itself 3.5 MB. So 635 clients hold 19 MB of a heap of 48 MB with heads. Bodies held 16 MB (BodyReader) and, until written, 16 MB once more: Parcel.request copied each into a buffer with its head, which no limit counted.

Now the body goes out as it is, behind its head in one gathering write; a head may have 8 KiB instead of 16, those of the platform have under 1; bodies hold a quarter of the heap at most. 14 MB for heads, 12 for bodies, 6 for pieces of streams and 4 for the rest are 36 of 46 usable.

LongDaysIT plays this with 620 clients, on heads under and over the limit: without the change the node is gone (connection refused, three of three), with it every client gets its error or a close (four of four).

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -64,13 +64,19 @@
     private static final long STILL_ACCEPTED_MS = 600;
     private static final int MAILBOX = 8192;
     private static final int BUFFER = 8192;
-    /** A client's head may be so long and have so many headers, and takes so long at most. */
-    private static final int LONGEST_HEAD = 16 * 1024;
+    /**
+     * A client's head may be so long and have so many headers, and takes so long at most. One of 62 headers was measured to
+     * hold 22 KB of the heap while it is read, and 30 KB with 16 KiB; 635 clients, as many as 1,024 descriptors leave, can
+     * hold 14 MB with them at a time.
+     */
+    private static final int LONGEST_HEAD = 8 * 1024;
     private static final int MOST_HEADERS = 64;
     private static final int HEAD_MS = 2000;
     /** A connection without a request may be closed after 2 s, and one that stays silent must be within 3 s. */
     private static final int IDLE_MS = 2300;
     private static final int BACKLOG = 1000;
+    /** Bodies may hold so much, and a quarter of the heap at most: heads, streams and what stays for good need the rest. */
+    private static final long BODIES = Math.min(16L << 20, Runtime.getRuntime().maxMemory() / 4);
     /** Linux would hold megabytes for a client that does not read, and hide from the node that it does not. */
     private static final int SEND_BUFFER = 64 * 1024;
     /**
@@ -130,7 +136,7 @@
                 new Mailbox(thread, MAILBOX), timers, targets, discovery);
         core[0] = flows;
         discovery.known(remembered.list());
-        BodyReader bodies = new BodyReader();
+        BodyReader bodies = new BodyReader(BODIES);
         OpenIds ids = new OpenIds();
         front = new PlatformFront(flows, bodies, ids, settings, !messageKinds().isEmpty());
         int each = connections.mostAccepted() / (broker == null ? 1 : 2);
--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -121,8 +121,8 @@
                 } else if (done) {
                     opened.close();
                 } else {
-                    opened.send(ByteBuffer.wrap(("GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ':'
-                            + address.getPort() + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1)), this);
+                    opened.send(this, ByteBuffer.wrap(("GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ':'
+                            + address.getPort() + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1)));
                 }
             });
         }
--- a/node/src/main/java/fawnlb/http/BodyReader.java
+++ b/node/src/main/java/fawnlb/http/BodyReader.java
@@ -27,12 +27,15 @@
 public final class BodyReader {
     private static final int LARGEST_BODY = 256 * 1024;
     private static final int FIRST_ROOM = 8 * 1024;
-    /** Every client at once with the largest body would be more than the heap. */
-    private static final long MOST_HELD = 16L << 20;
     /** A client that stops half-way through its body is owed an error within 3 s of its connect. */
     private static final long PATIENCE_MS = 2000;
 
-    private final AtomicLong room = new AtomicLong(MOST_HELD);
+    private final AtomicLong room;
+
+    /** Holds so many bytes of bodies at a time: every client at once with the largest one would be more than the heap. */
+    public BodyReader(long mostHeld) {
+        room = new AtomicLong(mostHeld);
+    }
 
     /** Answers a request that goes no further. */
     @FunctionalInterface
--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -25,7 +25,7 @@
 
     private final StreamConnection channel;
     private final Timers timers;
-    private ByteBuffer request;
+    private ByteBuffer[] request;
     private ResponseParser parser;
     private Call call;
     private Timers.Timer headTimer;
@@ -112,8 +112,8 @@
         IoUtils.safeClose(channel);
     }
 
-    /** Sends a request, given whole. */
-    public void send(ByteBuffer bytes, Call to) {
+    /** Sends a request, given whole, in as many buffers as it comes in. */
+    public void send(Call to, ByteBuffer... bytes) {
         request = bytes;
         parser = new ResponseParser();
         headTold = false;
@@ -130,8 +130,8 @@
 
     private void writable() {
         try {
-            while (request != null && request.hasRemaining()) {
-                if (channel.getSinkChannel().write(request) == 0) {
+            while (request != null && request[request.length - 1].hasRemaining()) {
+                if (channel.getSinkChannel().write(request, 0, request.length) == 0) {
                     channel.getSinkChannel().resumeWrites();
                     return;
                 }
--- a/node/src/main/java/fawnlb/target/Parcel.java
+++ b/node/src/main/java/fawnlb/target/Parcel.java
@@ -70,11 +70,12 @@
         return dialect == other || translated != null;
     }
 
-    ByteBuffer request(Dialect to, String host, long patience) {
+    /** Head and body; the body is not copied, since it stays for another attempt anyhow. */
+    ByteBuffer[] request(Dialect to, String host, long patience) {
         byte[] content = to == dialect ? body : translated;
         byte[] head = ("POST " + (to == dialect ? path : to.path()) + " HTTP/1.1\r\nHost: " + host
                 + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + patience / 1_000_000
                 + "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
-        return ByteBuffer.allocate(head.length + content.length).put(head).put(content).flip();
+        return new ByteBuffer[] {ByteBuffer.wrap(head), ByteBuffer.wrap(content)};
     }
 }
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -164,11 +164,11 @@
 
     /** One exchange with the target, from finding a connection to its end. */
     private abstract class Exchange implements Connection.Call {
-        private ByteBuffer request;
+        private ByteBuffer[] request;
         Connection connection;
         boolean done;
 
-        Exchange(ByteBuffer request) {
+        Exchange(ByteBuffer... request) {
             this.request = request;
         }
 
@@ -201,10 +201,10 @@
         }
 
         private void send() {
-            ByteBuffer bytes = request;
+            ByteBuffer[] bytes = request;
             // A stream may run for long; its request need not stay in memory.
             request = null;
-            connection.send(bytes, this);
+            connection.send(this, bytes);
         }
 
         @Override
--- a/node/src/test/java/fawnlb/cli/LongDaysIT.java
+++ b/node/src/test/java/fawnlb/cli/LongDaysIT.java
@@ -9,6 +9,7 @@
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -16,10 +17,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.Test;
 
 /** What long days bring to the process as a whole, on the program as the deploy file starts it. */
 public class LongDaysIT {
+    private static final String START = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
     private static final String READY = "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 
     /**
@@ -54,4 +57,48 @@
             }
         }
     }
+
+    /**
+     * As many heads as clients may have open that never end, beside as many of the longest bodies as targets that do not
+     * read leave waiting: together they were more than the heap, and the process ended with status 3.
+     */
+    @Test
+    public void headsAndBodiesOfAllClientsAtOnceFitTheHeap() throws Exception {
+        List<String> heads = IntStream.of(110, 240).mapToObj(length -> START + IntStream.range(0, 62)
+                .mapToObj(i -> "X-" + i + ": " + "y".repeat(length) + "\r\n").collect(Collectors.joining())).toList();
+        String body = "x".repeat(250_000);
+        try (ServerSocket deaf = new ServerSocket()) {
+            deaf.setReceiveBufferSize(4096);
+            deaf.bind(new InetSocketAddress("127.0.0.1", 0), 1000);
+            Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
+                    Rigged.member(1, "127.0.0.1:" + deaf.getLocalPort(), "c", "ready"))
+                    .replace("\"sockets\":200", "\"sockets\":1024").replace("\"most-held\":100", "\"most-held\":2000"));
+            Path believed = Rigged.file("{\"probation\":{\"on\":false}}");
+            Process node = Launch.within("1024", "serve", "--config", config.toString(), "--start", believed.toString());
+            List<Socket> clients = new ArrayList<>();
+            try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
+                 Socket first = connect(log, "serves on")) {
+                for (String head : heads) {
+                    for (int i = 0; i < 620; i++) {
+                        Socket client = connect(first.getPort());
+                        clients.add(client);
+                        write(client, i < 520 ? head : START + "X-Request-Id: " + head.length() + "-" + i + "\r\nX-Class: chat\r\n"
+                                + "X-Deadline-Ms: 4000\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                    }
+                    for (Socket client : clients) {
+                        String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                        assertTrue(answer, answer.isEmpty() || answer.matches("(?s)HTTP/1.1 [45].*"));
+                        client.close();
+                    }
+                    clients.clear();
+                }
+                assertTrue("still running", node.isAlive());
+            } finally {
+                node.destroyForcibly();
+                for (Socket client : clients) {
+                    client.close();
+                }
+            }
+        }
+    }
 }
