--- a/lab/src/main/java/fawnlb/lab/load/Asker.java
+++ b/lab/src/main/java/fawnlb/lab/load/Asker.java
@@ -85,9 +85,9 @@
             sentAt = timers.now();
             rules.asked(question.id(), node);
             byte[] content = question.body().getBytes(StandardCharsets.UTF_8);
-            connection.send(ByteBuffer.wrap(("POST " + question.path() + " HTTP/1.1\r\nHost: lab\r\nX-Request-Id: " + question.id()
+            connection.send(this, ByteBuffer.wrap(("POST " + question.path() + " HTTP/1.1\r\nHost: lab\r\nX-Request-Id: " + question.id()
                     + "\r\n" + question.headers() + "Content-Length: " + content.length + "\r\n\r\n" + question.body())
-                    .getBytes(StandardCharsets.UTF_8)), this);
+                    .getBytes(StandardCharsets.UTF_8)));
         }
 
         @Override
--- a/lab/src/main/java/fawnlb/lab/load/Clients.java
+++ b/lab/src/main/java/fawnlb/lab/load/Clients.java
@@ -213,11 +213,11 @@
                     + Integer.toHexString(turn.prefixLength()) + "&out=" + Integer.toHexString(turn.out());
             String body = "{\"model\":\"advisor\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"?\"}]}";
             rules.asked(id, node.name);
-            connection.send(ByteBuffer.wrap(("POST " + path + " HTTP/1.1\r\nHost: lab\r\nX-Request-Id: " + id
+            connection.send(this, ByteBuffer.wrap(("POST " + path + " HTTP/1.1\r\nHost: lab\r\nX-Request-Id: " + id
                     + "\r\nX-Class: advisor-chat\r\nX-Key: " + String.format("%016x", turn.session()) + "\r\nX-Deadline-Ms: "
                     + Math.max(1, (deadline - timers.now()) / MS) + "\r\nX-Extras: prefix=" + String.format("%016x", turn.prefix())
                     + ",prompt_len=" + turn.prompt() + ",prefix_len=" + turn.prefixLength() + ",max_out=800\r\nContent-Length: "
-                    + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1)), this);
+                    + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1)));
             patience = timers.after(deadline - timers.now(), this::leave);
         }
 
