Take only numeric addresses in a list, and ask a discovery that counts anew for all of it

Found by reading, shown by tests. MemberList took any text before a colon as a host and any number behind it as a port. A name was looked up on the I/O thread (Node.listed), which carries all flows; one not found threw UnresolvedAddressException out of Connection.open, past everything that counts, so that the forward never ended, its descriptor stayed counted and a planned end waited for ever; a port of 70000 threw out of the actor of the list, whose watch was read no further. Such a list is now one line in the log and the last good one stays; what is quoted of it is cut at 60 characters. A configuration whose own addresses can't be found ends with one line and status 2.

A watch whose changes have a lower revision than the list held is opened again, since they would undo newer ones. It was opened from the same revision, and a discovery that has started to count anew was refused each time: changes never arrived again. Now it is asked from 0.

Without the change: MemberListTest "expected IOException to be thrown, but nothing was thrown" for engine.local:9, NodeRulesTest "GET /registry/instances?watch=1&from=40" where from=0 is due. Both pass with it.

--- a/node/src/main/java/fawnlb/config/NodeConfig.java
+++ b/node/src/main/java/fawnlb/config/NodeConfig.java
@@ -73,8 +73,9 @@
         int colon = text == null ? -1 : text.lastIndexOf(':');
         try {
             int port = colon <= 0 ? -1 : Integer.parseInt(text.substring(colon + 1));
-            if (port >= 0 && port <= 0xffff) {
-                return new InetSocketAddress(text.substring(0, colon), port);
+            InetSocketAddress address = port >= 0 && port <= 0xffff ? new InetSocketAddress(text.substring(0, colon), port) : null;
+            if (address != null && !address.isUnresolved()) {
+                return address;
             }
         } catch (NumberFormatException e) {
             // Told below, like a missing one.
--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -89,8 +89,10 @@
     private void line(String text, boolean watching) throws IOException {
         MemberList list = MemberList.parse(text);
         if (watching && !list.complete() && list.revision() < revision) {
-            // Changes older than what is held would undo newer ones: ask again for all that came since.
-            throw new IOException("revision " + list.revision() + " after " + revision);
+            // Changes older than what is held would undo newer ones. Whoever sends them counts anew: ask for the whole list.
+            long held = revision;
+            revision = 0;
+            throw new IOException("revision " + list.revision() + " after " + held);
         }
         // A whole list stands for itself: a service that starts anew, or one moved to, may count from lower.
         revision = list.complete() && watching ? list.revision() : Math.max(revision, list.revision());
--- a/node/src/main/java/fawnlb/discovery/MemberList.java
+++ b/node/src/main/java/fawnlb/discovery/MemberList.java
@@ -9,9 +9,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.regex.Pattern;
 
 /** A list in discovery's form: {@code {"revision":41,"complete":true,"members":[...]}}. */
 public record MemberList(long revision, boolean complete, List<Member> members) {
+    /** A name would have to be looked up, on the thread that carries all flows and where there is nobody to ask. */
+    private static final Pattern NUMERIC = Pattern.compile(
+            "(((25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])(\\.(?=[0-9])|(?=:))){4}|\\[[0-9a-fA-F:.]{2,45}\\]):[0-9]{1,5}");
+    private static final int MOST_PORT = 0xffff;
+    private static final int LONGEST_QUOTE = 60;
+
     private static final JsonFactory JSON = new JsonFactory();
 
     public static MemberList parse(String text) throws IOException {
@@ -100,15 +107,19 @@
         }
         int colon = address.lastIndexOf(':');
         if (id.isEmpty() || colon <= 0 && phase != Phase.GONE) {
-            throw new IOException("member '" + id + "' without an id or address");
+            throw new IOException("member '" + cut(id) + "' without an id or address");
         }
-        try {
-            int port = colon <= 0 ? 0 : Integer.parseInt(address.substring(colon + 1));
-            return new Member(id, colon <= 0 ? "" : address.substring(0, colon), port, zone, kind, cell, phase, size,
-                    since);
-        } catch (NumberFormatException e) {
-            throw new IOException("member '" + id + "' has no port in its address '" + address + "'", e);
+        boolean numeric = NUMERIC.matcher(address).matches();
+        int port = numeric ? Integer.parseInt(address.substring(colon + 1)) : 0;
+        if ((!numeric || port > MOST_PORT) && phase != Phase.GONE) {
+            throw new IOException("member '" + cut(id) + "' has no numeric address and port in '" + cut(address) + "'");
         }
+        return new Member(id, numeric ? address.substring(0, colon) : "", port, zone, kind, cell, phase, size, since);
+    }
+
+    /** A fault is one line in the log, whatever was sent. */
+    private static String cut(String text) {
+        return text.substring(0, Math.min(LONGEST_QUOTE, text.length()));
     }
 
     /** An unknown phase counts as draining: nothing new is sent to what is not known to be ready. */
--- a/node/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -287,6 +287,21 @@
         }
     }
 
+    /** One that counts anew tells changes from lower on: asked from the old revision, it was refused each time, for good. */
+    @Test
+    public void aDiscoveryThatCountsAnewIsAskedForTheWholeList() throws Exception {
+        try (StandIn discovery = new StandIn((request, socket) -> {
+            boolean whole = request.line().contains("from=0") || request.line().contains("from=1");
+            write(socket, head(200, CHUNKED) + chunk("{\"revision\":" + (whole ? 40 : 3) + ",\"complete\":" + whole + ",\"members\":[]}\n"));
+            socket.close();
+        }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(), ""), null)) {
+            until("asked again", () -> discovery.requests.size() >= 3);
+            assertEquals(0, rig.node.open());
+            assertTrue(discovery.requests.get(1).line(), discovery.requests.get(1).line().contains("from=40"));
+            assertTrue(discovery.requests.get(2).line(), discovery.requests.get(2).line().contains("from=0"));
+        }
+    }
+
     /** Discovery that vanished says nothing: what it would have told counts as told six seconds later. */
     @Test
     public void aWatchThatFallsSilentOrEndsIsOpenedAgainFromTheLastRevision() throws Exception {
--- a/node/src/test/java/fawnlb/discovery/MemberListTest.java
+++ b/node/src/test/java/fawnlb/discovery/MemberListTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
 
 import fawnlb.decision.Balancer.Phase;
 import java.io.IOException;
@@ -38,6 +39,18 @@
         }
     }
 
+    /** A name was looked up on the I/O thread, and each forward to an address that is none was never heard of again. */
+    @Test
+    public void onlyNumericAddressesAreTaken() throws IOException {
+        for (String bad : new String[] {"engine.local:9", "999.1.1.1:9", "127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1", "1.2.3:9",
+            "x".repeat(100_000)}) {
+            String text = list(ENTRY.formatted("ready").replace("127.0.0.1:9", bad));
+            IOException fault = assertThrows(bad, IOException.class, () -> MemberList.parse(text));
+            assertTrue(fault.getMessage(), fault.getMessage().length() < 200);
+        }
+        assertEquals(9, MemberList.parse(list(ENTRY.formatted("ready").replace("127.0.0.1", "[::1]"))).members().get(0).port());
+    }
+
     @Test
     public void linesAreCutAnywhere() throws IOException {
         byte[] in = "ab\n\ncde\nf".getBytes();
