Answer what an unexpected error strikes, and tell of an I/O thread that stands still

Mailbox caught what a message throws, wrote it to the log and went on; whoever waited for the message's outcome waited for ever.

The log keeps its line with the stack.

A watchdog thread asks the I/O thread for a sign each second. A planned end says every 5 s what it still waits for.

Without the change FlowsTest sees [] where "failed" is due, and the mailbox has no such message.

--- a/node/src/main/java/fawnlb/actor/Mailbox.java
+++ b/node/src/main/java/fawnlb/actor/Mailbox.java
@@ -18,10 +18,12 @@
 
     private final Executor executor;
     private final int bound;
-    private final ConcurrentLinkedQueue<Runnable> messages = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Message> messages = new ConcurrentLinkedQueue<>();
     private final AtomicInteger size = new AtomicInteger();
     private final AtomicBoolean scheduled = new AtomicBoolean();
 
+    private record Message(Runnable run, Runnable failed) { }
+
     public Mailbox(Executor executor, int bound) {
         this.executor = executor;
         this.bound = bound;
@@ -29,11 +31,19 @@
 
     /** Leaves a message; false, and nothing left, if the mailbox is full. */
     public boolean tell(Runnable message) {
+        return tell(message, () -> { });
+    }
+
+    /**
+     * The same for a message that somebody waits for the outcome of. Failed: runs in its place if the message throws, which
+     * nobody expects; whoever waits must hear of it all the same.
+     */
+    public boolean tell(Runnable message, Runnable failed) {
         if (size.incrementAndGet() > bound) {
             size.decrementAndGet();
             return false;
         }
-        messages.add(message);
+        messages.add(new Message(message, failed));
         schedule();
         return true;
     }
@@ -46,16 +56,17 @@
 
     private void turn() {
         for (int i = 0; i < TURN; i++) {
-            Runnable message = messages.poll();
+            Message message = messages.poll();
             if (message == null) {
                 break;
             }
             size.decrementAndGet();
             try {
-                message.run();
+                message.run().run();
             } catch (RuntimeException | Error e) {
                 // One bad message must not stop this actor, or the thread that all actors share.
                 LOG.log(Level.SEVERE, "message failed", e);
+                failed(message);
             }
         }
         scheduled.set(false);
@@ -63,4 +74,12 @@
             schedule();
         }
     }
+
+    private static void failed(Message message) {
+        try {
+            message.failed().run();
+        } catch (RuntimeException | Error e) {
+            LOG.log(Level.SEVERE, "what follows a failed message failed too", e);
+        }
+    }
 }
--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -5,6 +5,7 @@
 import fawnlb.actor.IoTimers;
 import fawnlb.admin.AdminFront;
 import fawnlb.actor.Mailbox;
+import fawnlb.actor.Watchdog;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.Connections;
 import fawnlb.client.OpenIds;
@@ -43,6 +44,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
 import org.xnio.ChannelListeners;
@@ -62,6 +65,8 @@
     private static final long PROBE = SECOND / 2;
     /** New connections keep coming for up to 0.4 s after SIGTERM. */
     private static final long STILL_ACCEPTED_MS = 600;
+    /** How often a planned end says what it waits for. */
+    private static final long STILL_SERVING = 5 * SECOND;
     private static final int MAILBOX = 8192;
     private static final int BUFFER = 8192;
     /**
@@ -94,6 +99,8 @@
     private final StreamConfig stream;
     private final List<AcceptingChannel<StreamConnection>> servers = new ArrayList<>();
     private final Connections connections;
+    private final Object ending = new Object();
+    private boolean ended;
     private XnioWorker worker;
     private PlatformFront front;
     private Flows flows;
@@ -151,9 +158,28 @@
         if (stream.figuresEvery() > 0) {
             new AdminFront(streams, targets::address).logEvery(stream.figuresEvery(), timers);
         }
+        watch(thread, timers);
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
 
+    private void watch(XnioIoThread thread, IoTimers timers) {
+        Watchdog watchdog = new Watchdog(thread, thread::getStackTrace, LOG::severe);
+        Thread looking = new Thread(() -> {
+            try {
+                while (thread.isAlive()) {
+                    watchdog.look(timers.now());
+                    TimeUnit.NANOSECONDS.sleep(Watchdog.PACE);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (RejectedExecutionException e) {
+                LOG.fine("the I/O thread has ended");
+            }
+        }, "watchdog");
+        looking.setDaemon(true);
+        looking.start();
+    }
+
     /** The actor that writes the list down, null if it is not to be. */
     private Recorder recorder(XnioIoThread thread, IoTimers timers, Remembered remembered) {
         if (start.snapshot() == null) {
@@ -253,18 +279,33 @@
         discovery.move(read.discovery());
     }
 
-    /** SIGTERM: takes what still comes for a moment, answers all that was taken, and ends. */
+    /** SIGTERM: takes what still comes for a moment, answers all that was taken, and ends. Whoever asks again waits for it. */
     void drain() {
-        front.drain();
-        connections.drain();
-        try {
-            Thread.sleep(STILL_ACCEPTED_MS);
-            servers.forEach(IoUtils::safeClose);
-            while (connections.closeIdle() > 0 || flows.open() > 0) {
-                Thread.sleep(20);
+        synchronized (ending) {
+            if (!ended) {
+                front.drain();
+                connections.drain();
+                try {
+                    Thread.sleep(STILL_ACCEPTED_MS);
+                    servers.forEach(IoUtils::safeClose);
+                    awaitAnswers();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                ended = true;
+            }
+        }
+    }
+
+    private void awaitAnswers() throws InterruptedException {
+        long began = System.nanoTime();
+        long next = STILL_SERVING;
+        for (int left = connections.closeIdle(); left > 0 || flows.open() > 0; left = connections.closeIdle()) {
+            if (System.nanoTime() - began > next) {
+                LOG.info("ending: " + left + " clients and " + flows.open() + " flows are still being served");
+                next += STILL_SERVING;
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            Thread.sleep(20);
         }
     }
 
--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -74,11 +74,24 @@
         void closed() {
             ClientExchange last = exchange;
             if (last != null) {
-                last.mailbox.tell(last::left);
+                last.tell(last::left);
             }
         }
     }
 
+    private void tell(Runnable message) {
+        mailbox.tell(message, this::cut);
+    }
+
+    /** Something threw that nobody expected: the client's connection ends, so that nothing looks finished. */
+    private void cut() {
+        try {
+            left();
+        } finally {
+            IoUtils.safeClose(connection);
+        }
+    }
+
     /** Told once, at the end of the exchange. */
     private void finished(Replies.End end, int status, Ending cause) {
         done = true;
@@ -123,14 +136,16 @@
     private void left() {
         if (!done) {
             finished(Replies.End.GONE, channel == null ? 0 : replies.servedStatus(), Ending.of(End.READER_LEFT));
-            ticket.gone();
+            if (ticket != null) {
+                ticket.gone();
+            }
             IoUtils.safeClose(connection);
         }
     }
 
     @Override
     public void streaming(Source from) {
-        mailbox.tell(() -> {
+        tell(() -> {
             if (done) {
                 from.closed();
                 return;
@@ -148,7 +163,7 @@
 
     @Override
     public void chunk(ByteBuffer bytes) {
-        mailbox.tell(() -> {
+        tell(() -> {
             for (int i = Math.max(bytes.position(), bytes.limit() - Integer.BYTES); i < bytes.limit(); i++) {
                 lastBytes = lastBytes << Byte.SIZE | bytes.get(i) & 0xff;
             }
@@ -159,7 +174,7 @@
 
     @Override
     public void end() {
-        mailbox.tell(() -> {
+        tell(() -> {
             ended = true;
             write();
         });
@@ -167,7 +182,7 @@
 
     @Override
     public void broken(Ending ending) {
-        mailbox.tell(() -> {
+        tell(() -> {
             if (!done) {
                 // Closed without a last chunk: a cut stream must not look finished.
                 sayBroken(ending);
@@ -231,12 +246,12 @@
 
     @Override
     public void refused(Ending cause, long retryAfter) {
-        mailbox.tell(() -> answer(replies.refused(cause), retryAfter, Replies.End.REFUSED, cause));
+        tell(() -> answer(replies.refused(cause), retryAfter, Replies.End.REFUSED, cause));
     }
 
     @Override
     public void failed(Ending cause) {
-        mailbox.tell(() -> answer(replies.failed(cause), 0, Replies.End.FAILED, cause));
+        tell(() -> answer(replies.failed(cause), 0, Replies.End.FAILED, cause));
     }
 
     private void answer(Replies.Reply reply, long retryAfter, Replies.End end, Ending cause) {
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -96,7 +96,8 @@
         long taken = timers.now();
         Ticket[] ticket = new Ticket[1];
         Flow[] flow = new Flow[1];
-        boolean room = open < settings.limits().open() && mailbox.tell(() -> flow[0] = begin(ask, listener, taken));
+        boolean room = open < settings.limits().open() && mailbox.tell(() -> flow[0] = begin(ask, listener, taken),
+                () -> abandon(flows.get(lastId)));
         ticket[0] = () -> mailbox.tell(() -> gone(flow[0]));
         return room ? ticket[0] : null;
     }
@@ -116,7 +117,7 @@
         flows.put(flow.id, flow);
         open = flows.size();
         flow.lastCall = timers.after(flow.deadline + LAST_CALL - timers.now(),
-                () -> mailbox.tell(() -> lastCall(flow)));
+                () -> mailbox.tell(() -> lastCall(flow), () -> abandon(flow)));
         tell(new Balancer.Request(flow.id, ask.type(), ask.tenant(), ask.session(), ask.prefix(),
                 Math.max(0, flow.deadline - timers.now()), 0, ask.promptTokens(), ask.prefixTokens(),
                 ask.maxTokens(), false, ask.repeat(), false));
@@ -143,6 +144,11 @@
         }
     }
 
+    /** Something threw that nobody expected while this flow was dealt with: it is answered, and no other is held up. */
+    private void abandon(Flow flow) {
+        finish(flow, () -> flow.listener.failed(flow.last));
+    }
+
     /** Gives the final answer, unless it has been given, and ends what is still out. */
     private void finish(Flow flow, Runnable answer) {
         if (flow == null || flow.over) {
@@ -231,22 +237,22 @@
                 new Targets.Report() {
                     @Override
                     public void started(Source source) {
-                        mailbox.tell(() -> Flows.this.started(flow, out, source));
+                        mailbox.tell(() -> Flows.this.started(flow, out, source), () -> abandon(flow));
                     }
 
                     @Override
                     public void rejected(Source source) {
-                        mailbox.tell(() -> Flows.this.rejected(flow, out, source));
+                        mailbox.tell(() -> Flows.this.rejected(flow, out, source), () -> abandon(flow));
                     }
 
                     @Override
                     public void parked() {
-                        mailbox.tell(() -> Flows.this.parked(flow, out));
+                        mailbox.tell(() -> Flows.this.parked(flow, out), () -> abandon(flow));
                     }
 
                     @Override
                     public void ended(Ending ending, long kept, List<Double> load) {
-                        mailbox.tell(() -> Flows.this.ended(flow, out, ending, kept, load));
+                        mailbox.tell(() -> Flows.this.ended(flow, out, ending, kept, load), () -> abandon(flow));
                     }
                 });
     }
@@ -267,8 +273,8 @@
         out.stop.cancel();
         flow.over = true;
         flow.lastCall.cancel();
-        tell(new Balancer.Started(flow.id, out.number, out.target, timers.now() - out.sentAt));
         flow.listener.streaming(source);
+        tell(new Balancer.Started(flow.id, out.number, out.target, timers.now() - out.sentAt));
     }
 
     /** Neither the target's merit nor its failure: to the module, the client has taken its request back. */
@@ -281,8 +287,8 @@
         out.stop.cancel();
         flow.over = true;
         flow.lastCall.cancel();
-        tell(new Balancer.ClientGone(flow.id));
         flow.listener.streaming(source);
+        tell(new Balancer.ClientGone(flow.id));
     }
 
     /**
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -97,11 +97,11 @@
         boolean told = mailbox.tell(() -> {
             running.open(promptTokens, patience, again);
             running.begin();
-        });
+        }, running::fail);
         if (!told) {
             report.ended(Ending.of(End.NOT_SENT), 0, List.of());
         }
-        return end -> mailbox.tell(() -> running.leave(end));
+        return end -> mailbox.tell(() -> running.leave(end), running::fail);
     }
 
     void probe(Targets.ProbeReport report) {
@@ -221,8 +221,10 @@
 
         @Override
         public void broken(Connection.Break how) {
-            close(connection);
-            connection = null;
+            if (connection != null) {
+                close(connection);
+                connection = null;
+            }
             finish(switch (how) {
                 case NOT_WRITTEN -> End.NOT_CONNECTED;
                 case CLOSED -> End.BROKEN;
@@ -283,6 +285,19 @@
             arm();
         }
 
+        private void tell(Runnable message) {
+            mailbox.tell(message, this::fail);
+        }
+
+        /** Something threw that nobody expected: the client is told, and the target's work called off. */
+        void fail() {
+            stop(End.BROKEN);
+            if (sink != null) {
+                complete = false;
+                sink.broken(stream.ending());
+            }
+        }
+
         @Override
         public void parked() {
             report.parked();
@@ -314,12 +329,12 @@
 
         @Override
         public void closed() {
-            mailbox.tell(this::close);
+            tell(this::close);
         }
 
         @Override
         public void lags(int left) {
-            mailbox.tell(() -> {
+            tell(() -> {
                 stream.lags(timers.now(), left);
                 arm();
             });
@@ -334,7 +349,7 @@
             long at = stream.wakeAt();
             if (at != Stream.NEVER) {
                 timedFor = stream.state();
-                timer = timers.after(at - timers.now(), () -> mailbox.tell(() -> {
+                timer = timers.after(at - timers.now(), () -> tell(() -> {
                     timer = null;
                     stream.wake(timers.now());
                     arm();
@@ -367,7 +382,7 @@
                 arm();
             } else {
                 unarm();
-                discard = timers.after(DISCARD, () -> mailbox.tell(() -> stop(failure())));
+                discard = timers.after(DISCARD, () -> tell(() -> stop(failure())));
             }
         }
 
@@ -453,7 +468,7 @@
 
         @Override
         public void into(Sink to) {
-            mailbox.tell(() -> {
+            tell(() -> {
                 sink = to;
                 if (first != null) {
                     sink.chunk(first);
@@ -467,7 +482,7 @@
 
         @Override
         public void more() {
-            mailbox.tell(() -> {
+            tell(() -> {
                 stream.took(timers.now());
                 if (connection != null) {
                     arm();
--- a/node/src/test/java/fawnlb/actor/MailboxTest.java
+++ b/node/src/test/java/fawnlb/actor/MailboxTest.java
@@ -47,4 +47,17 @@
         assertEquals(List.of(1, 2), ran);
         assertTrue(mailbox.tell(() -> ran.add(4)));
     }
+
+    @Test
+    public void whoeverWaitsForAMessageHearsThatItFailed() {
+        Mailbox mailbox = new Mailbox(executor::add, 9);
+        Runnable fault = () -> {
+            throw new IllegalStateException("meant to fail");
+        };
+        mailbox.tell(fault, () -> ran.add(1));
+        mailbox.tell(fault, fault);
+        mailbox.tell(() -> ran.add(2), () -> ran.add(3));
+        runAll();
+        assertEquals(List.of(1, 2), ran);
+    }
 }
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -26,11 +26,18 @@
     private final List<Balancer.Event> events = new ArrayList<>();
     private final List<Targets.Report> reports = new ArrayList<>();
     private final Hand hand = new Hand();
+    /** The kind of event at which the module throws. */
+    private Class<?> faulty;
     private Balancer.Sink module;
     private final Flows flows = new Flows(new SettingsParser("limits.most-tries=3\nlimits.most-held=2").settings(), 1,
             (settings, seed, sink) -> {
                 module = sink;
-                return (now, event) -> events.add(event);
+                return (now, event) -> {
+                    events.add(event);
+                    if (event.getClass() == faulty) {
+                        throw new IllegalStateException("meant to fail");
+                    }
+                };
             }, new Mailbox(Runnable::run, 100), hand, new ByHand(), new NoRoster());
 
     /** A clock that moves when told. */
@@ -99,7 +106,7 @@
 
         @Override
         public void failed(Ending cause) {
-            seen.add("failed " + cause.word());
+            seen.add("failed " + (cause == null ? null : cause.word()));
         }
     }
 
@@ -251,4 +258,28 @@
         assertEquals(told, events.size());
         assertEquals(0, flows.open());
     }
+
+    /** What nobody expected costs the flow that it strikes an answer at once, and no other flow anything. */
+    @Test
+    public void aFlowWhoseMessageFailsIsAnsweredAtOnce() {
+        Object[][] cases = {{Balancer.Request.class, List.of("failed null")},
+            {Ended.class, List.of("forward 7", "failed failed")}, {Balancer.Started.class, List.of("forward 7", "streaming")}};
+        for (Object[] row : cases) {
+            seen.clear();
+            faulty = (Class<?>) row[0];
+            take();
+            if (faulty != Balancer.Request.class) {
+                module.act(new Send(((Balancer.Request) events.get(events.size() - 1)).id(), 7, 0));
+                Targets.Report report = reports.get(reports.size() - 1);
+                if (faulty == Ended.class) {
+                    report.ended(Ending.of(End.FAILED), 0, List.of());
+                } else {
+                    report.started(null);
+                    report.ended(Ending.of(End.WHOLE), 0, List.of());
+                }
+            }
+            assertEquals(row[0].toString(), row[1], seen);
+            assertEquals(0, flows.open());
+        }
+    }
 }
