Write the log on a thread of its own: with nobody reading it, the node hung

Seen with the released program, output to a pipe that nobody reads, and a list with a long address in it: the log line is longer than the pipe's 64 KB, the I/O thread waits in the write and never comes back. LongDaysIT without the change: "never came: asked for the list again and again", two of two; the program's only sign of life is its open port.

Log lines now wait for a thread of their own, 1,024 of them; those beyond are counted, and one line says how many were left out.

The platform closes all log handlers when a shutdown hook begins, so that nothing could be read of a planned end: no line came after SIGTERM, a refused reload among them. SIGTERM now has a handler that ends the node in order and exits with 143 as before; the hook stays for other ends. Without the change LongDaysIT says "the log goes on" was expected.

--- a/node/src/main/java/fawnlb/cli/Main.java
+++ b/node/src/main/java/fawnlb/cli/Main.java
@@ -29,6 +29,9 @@
 public final class Main {
     private static final Logger LOG = Logger.getLogger(Main.class.getName());
     private static final int WRONG = 2;
+    /** As a process that SIGTERM ends; supervisors know it. */
+    private static final int TERMINATED = 128 + 15;
+    private static final long LAST_LINES_MS = 200;
     /** One line a record, unless whoever starts the program wants another form. */
     private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
 
@@ -71,6 +74,12 @@
             }
         }
 
+        /** The planned end; a second signal changes nothing. */
+        void end(Node node) {
+            node.drain();
+            System.exit(TERMINATED);
+        }
+
         BrokerConfig broker() throws NodeConfig.Bad {
             return broker == null ? null : BrokerConfig.read(Path.of(broker));
         }
@@ -92,8 +101,12 @@
         public void run() throws Exception {
             NodeConfig read = read();
             node = new Node(read, broker(), start(read.settings()), streams());
-            Hangup.handle(() -> reload(node));
+            if (!Signals.handle("HUP", () -> reload(node))) {
+                LOG.warning("SIGHUP is ignored by whoever started this process: the configuration can't be read again");
+            }
             node.start();
+            // By a handler and not by a shutdown hook alone, at which the platform would close the log at once.
+            Signals.handle("TERM", () -> end(node));
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         }
     }
@@ -215,11 +228,21 @@
         }
     }
 
+    private static void lastLines(LogWriter log) {
+        try {
+            log.await(LAST_LINES_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     public static void main(String[] args) {
         withoutManagementBeans();
         if (System.getProperty(LOG_FORMAT) == null) {
             System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
         }
+        LogWriter log = LogWriter.install();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> lastLines(log), "last lines"));
         try {
             command(args).run();
         } catch (ParameterException | NodeConfig.Bad e) {
--- a/node/src/test/java/fawnlb/cli/Launch.java
+++ b/node/src/test/java/fawnlb/cli/Launch.java
@@ -18,16 +18,15 @@
     private Launch() { }
 
     static Process start(String command, String... arguments) throws IOException {
-        return within("unlimited", command, arguments);
+        return after("", command, arguments);
     }
 
-    /** Descriptors: as many as the process may hold, as {@code ulimit} has them. */
-    static Process within(String descriptors, String command, String... arguments) throws IOException {
+    /** Shell: what a shell does before the program takes its place, such as {@code ulimit -n 200}. */
+    static Process after(String shell, String command, String... arguments) throws IOException {
         Matcher line = Pattern.compile("(?m)^run = \"((?:[A-Z_]+=\\S+ )*)exec java (.*) serve\"$")
                 .matcher(Files.readString(Path.of("../deploy/balancer.toml")));
         assertTrue(line.find());
-        String limit = descriptors.equals("unlimited") ? "" : "ulimit -n " + descriptors + " && ";
-        String text = limit + line.group(1) + "exec " + Path.of(System.getProperty("java.home"), "bin", "java") + ' '
+        String text = shell + "\n" + line.group(1) + "exec " + Path.of(System.getProperty("java.home"), "bin", "java") + ' '
                 + line.group(2) + ' ' + command + ' ' + String.join(" ", arguments);
         return new ProcessBuilder("/bin/sh", "-c", text).directory(new File("..")).redirectErrorStream(true).start();
     }
--- a/node/src/test/java/fawnlb/cli/LongDaysIT.java
+++ b/node/src/test/java/fawnlb/cli/LongDaysIT.java
@@ -2,20 +2,30 @@
 
 import static fawnlb.cli.Launch.connect;
 import static fawnlb.cli.Launch.signal;
+import static fawnlb.cli.StandIn.CHUNKED;
+import static fawnlb.cli.StandIn.chunk;
+import static fawnlb.cli.StandIn.head;
 import static fawnlb.cli.StandIn.write;
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.Test;
@@ -32,7 +42,7 @@
     @Test
     public void aBurstOfSilentClientsDoesNotTakeTheLastDescriptor() throws Exception {
         Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1", ""));
-        Process node = Launch.within("200", "serve", "--config", config.toString());
+        Process node = Launch.after("ulimit -n 200", "serve", "--config", config.toString());
         List<SocketChannel> silent = new ArrayList<>();
         try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
              Socket first = connect(log, "serves on")) {
@@ -74,7 +84,7 @@
                     Rigged.member(1, "127.0.0.1:" + deaf.getLocalPort(), "c", "ready"))
                     .replace("\"sockets\":200", "\"sockets\":1024").replace("\"most-held\":100", "\"most-held\":2000"));
             Path believed = Rigged.file("{\"probation\":{\"on\":false}}");
-            Process node = Launch.within("1024", "serve", "--config", config.toString(), "--start", believed.toString());
+            Process node = Launch.after("ulimit -n 1024", "serve", "--config", config.toString(), "--start", believed.toString());
             List<Socket> clients = new ArrayList<>();
             try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
                  Socket first = connect(log, "serves on")) {
@@ -101,4 +111,89 @@
             }
         }
     }
+
+    /** A line longer than a pipe holds, from a process whose output nobody reads: the I/O thread waited for ever. */
+    @Test
+    public void aNodeWhoseLogNobodyReadsServesOn() throws Exception {
+        try (StandIn discovery = new StandIn((request, socket) -> write(socket, head(200, CHUNKED) + chunk("{\"revision\":2,"
+                + "\"members\":[" + Rigged.member(1, "x".repeat(200_000) + ":y", "c", "ready") + "]}\n") + "0\r\n\r\n"))) {
+            int port = freePort();
+            Path config = Rigged.file(Rigged.config("subscribe", discovery.address(), "").replace(":0\"", ":" + port + '"'));
+            Process node = Launch.start("serve", "--config", config.toString());
+            try {
+                Rigged.until("asked for the list again and again", () -> discovery.requests.size() >= 3);
+                try (Socket client = connect(port)) {
+                    client.setSoTimeout(3000);
+                    write(client, READY);
+                    assertTrue(new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8).startsWith("HTTP/1.1 200"));
+                }
+                signal(node, "TERM");
+                assertTrue("ends", node.waitFor(10, TimeUnit.SECONDS));
+            } finally {
+                node.destroyForcibly();
+            }
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    /** The platform closes the log as the program begins to end, and what went wrong from there on left nothing to read. */
+    @Test
+    public void theLogGoesOnToTheEndAndSaysWhatIsIgnored() throws Exception {
+        CountDownLatch ending = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + chunk("data: a\n\n"));
+            ending.await(10, TimeUnit.SECONDS);
+            write(socket, chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+        })) {
+            Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
+                    Rigged.member(1, target.address(), "c", "ready")));
+            Process node = Launch.start("serve", "--config", config.toString());
+            try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
+                 Socket client = connect(log, "serves on")) {
+                write(client, Rigged.chat("id", 3000));
+                assertTrue(client.getInputStream().read() > 0);
+                signal(node, "TERM");
+                Files.writeString(config, "{\"name\": ");
+                // The listener closes a moment after the signal: the end has begun by then.
+                Rigged.until("ending", () -> refuses(client.getPort()));
+                signal(node, "HUP");
+                String line = log.readLine();
+                while (line != null && !line.contains("not reloaded")) {
+                    line = log.readLine();
+                }
+                assertNotNull("the log goes on", line);
+                ending.countDown();
+                assertTrue("ends by itself", node.waitFor(5, TimeUnit.SECONDS));
+                assertEquals(143, node.exitValue());
+            } finally {
+                ending.countDown();
+                node.destroyForcibly();
+            }
+        }
+        Process deaf = Launch.after("trap '' HUP", "serve", "--config",
+                Rigged.file(Rigged.config("automatic", "127.0.0.1:1", "")).toString());
+        try (BufferedReader log = new BufferedReader(new InputStreamReader(deaf.getInputStream()))) {
+            String said = "";
+            while (!said.contains("serves on")) {
+                said += log.readLine();
+            }
+            assertTrue(said, said.contains("SIGHUP is ignored"));
+        } finally {
+            deaf.destroyForcibly();
+        }
+    }
+
+    private static boolean refuses(int port) {
+        try {
+            connect(port).close();
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
 }
