Give discovery the first word after a start, before remembered targets are tried

Probation tried remembered targets at once (Probation.remembered).

Now they are tried when discovery has failed, or has said nothing for a third of the shortest aim of the settings' classes (0.5 s here): a request that waits for that can still be in time. A discovery that refuses its connection costs nothing by that. ProbationTest holds the three cases; without the change the first of them shows room for requests at once.

--- a/node/src/main/java/fawnlb/probation/Probation.java
+++ b/node/src/main/java/fawnlb/probation/Probation.java
@@ -53,6 +53,8 @@
     private double expected;
     private Listed empty;
     private long emptyUntil = NEVER;
+    /** Until then no remembered target is tried; {@link #NEVER} once they are. */
+    private long firstWordUntil = NEVER;
 
     /**
      * Times in nanoseconds. {@code halfLife}: after which a memory weighs half; {@code proofs}: answers that prove a
@@ -60,10 +62,12 @@
      * await their first token at one unproven target, from all nodes together; {@code routers}: how many nodes;
      * {@code atOnce}: targets that may be tried at once at least; {@code doubt}, {@code longestDoubt}: how long a
      * target is left alone after a failure, doubled with each up to the longest; {@code hold}: how long an empty list
-     * is not believed while targets are held, 0 to believe it at once.
+     * is not believed while targets are held, 0 to believe it at once; {@code firstWord}: how long discovery may take to
+     * answer before remembered targets are tried: the address of one may belong to another by now, and a node may send only
+     * to what its list has named.
      */
     public record Rules(long halfLife, int proofs, long settle, int waiting, int routers, int atOnce, long doubt,
-                        long longestDoubt, long hold) {
+                        long longestDoubt, long hold, long firstWord) {
         /** This node's part of what all nodes may have waiting at an unproven target. */
         int part() {
             return Math.max(1, waiting / Math.max(1, routers));
@@ -104,7 +108,11 @@
             case CACHED -> remembered(now, news);
             case FULL -> whole(now, news);
             case DELTA -> changes(news);
-            case FAILED, VIEW -> news;
+            case FAILED -> {
+                firstWordUntil = firstWordUntil == NEVER ? NEVER : now;
+                yield news;
+            }
+            case VIEW -> news;
         };
     }
 
@@ -118,6 +126,7 @@
                 boxes.put(replica.id(), new Box(replica, weight(now, replica.id()), mix(replica.id() ^ seed)));
             }
         }
+        firstWordUntil = rules.firstWord() > 0 ? now + rules.firstWord() : NEVER;
         expected = boxes.values().stream().mapToDouble(box -> box.weight).sum();
         admit(now);
         if (!boxes.isEmpty()) {
@@ -220,7 +229,7 @@
 
     @Override
     public long wakeAt() {
-        long at = emptyUntil;
+        long at = boxes.isEmpty() ? emptyUntil : Math.min(emptyUntil, firstWordUntil);
         for (Box box : boxes.values()) {
             if (box.state == State.DOUBTED) {
                 at = Math.min(at, box.until);
@@ -264,6 +273,10 @@
 
     /** Lets targets be tried, the likeliest first, while fewer are being tried without an answer than may be. */
     private void admit(long now) {
+        if (now < firstWordUntil && firstWordUntil != NEVER) {
+            return;
+        }
+        firstWordUntil = NEVER;
         int most = Math.max(rules.atOnce(), (int) Math.round(expected));
         long trying = boxes.values().stream().filter(box -> box.state == State.PROVING && box.answers == 0).count();
         boxes.values().stream().filter(box -> box.state == State.REMEMBERED)
--- a/node/src/test/java/fawnlb/probation/ProbationTest.java
+++ b/node/src/test/java/fawnlb/probation/ProbationTest.java
@@ -26,7 +26,7 @@
     private final Map<Long, Integer> shown = new HashMap<>();
 
     private static Probation.Rules rules(long hold) {
-        return new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, hold);
+        return new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, hold, 0);
     }
 
     private static Replica replica(long id, Phase phase) {
@@ -214,4 +214,31 @@
         assertTrue(first.toString(), first.values().stream().anyMatch(room -> room == 0)
                 && first.values().stream().filter(room -> room > 0).count() > 3);
     }
+
+    /**
+     * The address of a remembered target may be another's by now: a day was lost by a request that met one of no list,
+     * sent 50 ms after a start and 200 ms before discovery had answered.
+     */
+    @Test
+    public void discoveryIsGivenTheFirstWordAndNoneIsWaitedForWhereItFails() {
+        for (ListKind word : new ListKind[] {ListKind.FULL, ListKind.FAILED, ListKind.VIEW}) {
+            Probation probation = new Probation(new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, 0, S / 2), 1, Map.of(),
+                    line -> { });
+            show(probation.listed(NOW, list(ListKind.CACHED, 1, 2)));
+            assertEquals(Map.of(1L, 0, 2L, 0), shown);
+            assertEquals(NOW + S / 2, probation.wakeAt());
+            long at = word == ListKind.VIEW ? NOW + S / 2 : NOW + S / 10;
+            if (word != ListKind.VIEW) {
+                show(probation.listed(at, word == ListKind.FULL ? list(word, 2, 3) : new Listed(word, 0, List.of())));
+            }
+            if (word == ListKind.FULL) {
+                assertEquals(Map.of(2L, Replica.ALL, 3L, Replica.ALL), shown);
+            } else {
+                assertEquals(at, probation.wakeAt());
+                show(probation.woken(at));
+                assertEquals(Map.of(1L, 1, 2L, 1), shown);
+            }
+            assertEquals(Long.MAX_VALUE, probation.wakeAt());
+        }
+    }
 }
