Start while a predecessor still listens, and forget targets that leave with a forward on its way

The predecessor accepts for 0.6 s more, by the platform's own rule. A listener now waits for its address for up to 10 s, with one line in the log; readiness is waited for for 30 s. LongDaysIT without it: "the node never served".

Streams keep a record of each target until it has left the list and its last stream has ended.

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -40,6 +40,8 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -48,6 +50,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
+import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -67,6 +70,8 @@
     private static final long STILL_ACCEPTED_MS = 600;
     /** How often a planned end says what it waits for. */
     private static final long STILL_SERVING = 5 * SECOND;
+    /** A predecessor accepts for 0.6 s after SIGTERM and may have little of a core; readiness is waited for for 30 s. */
+    private static final long PREDECESSOR = 10 * SECOND;
     private static final int MAILBOX = 8192;
     private static final int BUFFER = 8192;
     /**
@@ -233,7 +238,7 @@
                 ClientExchange.write(exchange, NO_ROOM, SECOND);
             }
         });
-        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(address,
+        AcceptingChannel<StreamConnection> server = bind(address,
                 ChannelListeners.openListenerAdapter((StreamConnection c) -> connections.accept(c, reader)),
                 OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
                         .set(Options.BACKLOG, BACKLOG).set(Options.SEND_BUFFER, SEND_BUFFER)
@@ -242,6 +247,33 @@
         servers.add(server);
     }
 
+    /** A predecessor that is still ending has the address for a moment more, and is no reason not to start. */
+    private AcceptingChannel<StreamConnection> bind(InetSocketAddress address,
+            ChannelListener<AcceptingChannel<StreamConnection>> taken, OptionMap options) throws IOException {
+        long began = System.nanoTime();
+        boolean said = false;
+        while (true) {
+            try {
+                return worker.createStreamConnectionServer(address, taken, options);
+            } catch (BindException e) {
+                String why = String.valueOf(e.getMessage());
+                if (!why.contains("in use") || System.nanoTime() - began > PREDECESSOR) {
+                    throw new BindException(address + ": " + why);
+                }
+                if (!said) {
+                    said = true;
+                    LOG.warning(address + " is still in use; waits for it for " + PREDECESSOR / SECOND + " s");
+                }
+            }
+            try {
+                Thread.sleep(20);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new InterruptedIOException("interrupted while waiting for " + address);
+            }
+        }
+    }
+
     private FlowLog flowLog(XnioIoThread thread, IoTimers timers) throws IOException {
         BrokerConfig.Syslog syslog = broker.syslog();
         if (syslog == null) {
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -81,10 +81,14 @@
         return dialect;
     }
 
-    /** Gone from the list or moved: idle connections close, forwards that are out run on. */
+    /**
+     * Gone from the list or moved: idle connections close, forwards that are out run on. A forward may wait in the mailbox
+     * before this; what is kept of the target goes when that has ended too, and would stay if it went before it began.
+     */
     void leave() {
         mailbox.tell(() -> {
             left = true;
+            streams.gone(id);
             while (!idle.isEmpty()) {
                 close(idle.poll().connection());
             }
--- a/node/src/main/java/fawnlb/target/TargetPool.java
+++ b/node/src/main/java/fawnlb/target/TargetPool.java
@@ -49,7 +49,6 @@
         if (changed) {
             targets.remove(id);
             target.leave();
-            streams.gone(id);
         }
         if (phase != Phase.GONE && (target == null || changed)) {
             targets.put(id, new Target(id, address, since, dialect, thread, timers, new Mailbox(thread, MAILBOX), limits, this, streams));
@@ -62,7 +61,6 @@
             boolean gone = !listed.contains(entry.getKey());
             if (gone) {
                 entry.getValue().leave();
-                streams.gone(entry.getKey());
             }
             return gone;
         });
--- a/node/src/test/java/fawnlb/cli/LongDaysIT.java
+++ b/node/src/test/java/fawnlb/cli/LongDaysIT.java
@@ -196,4 +196,24 @@
             return true;
         }
     }
+
+    /** A supervisor may start the next node while the last one is still ending: it did not start, with status 1. */
+    @Test
+    public void aNodeWhosePredecessorStillListensStartsWhenItHasGone() throws Exception {
+        ServerSocket predecessor = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1", "")
+                .replace(":0\"", ":" + predecessor.getLocalPort() + '"'));
+        Process node = Launch.start("serve", "--config", config.toString());
+        try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()))) {
+            String line = log.readLine();
+            while (line != null && !line.contains("in use")) {
+                line = log.readLine();
+            }
+            predecessor.close();
+            connect(log, "serves on").close();
+        } finally {
+            predecessor.close();
+            node.destroyForcibly();
+        }
+    }
 }
