Follow a list that is pushed too: its agent has to be asked

On real sockets a pushed list goes to an agent on the node's machine that answers when asked (PROTOCOL), so the node kept the list of its start for good.

The core now gives the module settings under which the list is asked for, whatever its origin; the simulator's wire is not touched. NodeRulesTest without it: "never came: moved to the listed target".

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -144,7 +144,8 @@
             }
             core[0].listed(listed(kind, list, targets));
         });
-        flows = new Flows(settings, config.seed(), (s, seed, sink) -> new Views(views, Choice::new, s, seed, sink),
+        // Where lists are pushed, it is to an agent on this machine, and the node has to ask that one.
+        flows = new Flows(settings.asked(), config.seed(), (s, seed, sink) -> new Views(views, Choice::new, s, seed, sink),
                 new Mailbox(thread, MAILBOX), timers, targets, discovery);
         core[0] = flows;
         discovery.known(remembered.list());
--- a/node/src/main/java/fawnlb/decision/Balancer.java
+++ b/node/src/main/java/fawnlb/decision/Balancer.java
@@ -75,6 +75,12 @@
             this(me, routers, zone, tick, resume, discovery, reports, reportFields, classes, tenants, limits, rules,
                     costs, new Names(List.of(), List.of(), List.of(), List.of()), new Connections(0, 0));
         }
+
+        /** The same for a host whose list has to be asked for, wherever it comes from. */
+        public Settings asked() {
+            return new Settings(me, routers, zone, tick, resume, Discovery.ASKED, reports, reportFields, classes, tenants, limits,
+                    rules, costs, names, connections);
+        }
     }
 
     // ---- Events ---------------------------------------------------------------------------------------
--- a/node/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -287,6 +287,20 @@
         }
     }
 
+    /** Pushed lists go to an agent that has to be asked all the same: without that a node kept its first list for good. */
+    @Test
+    public void aListThatIsPushedIsFollowedToo() throws Exception {
+        try (StandIn before = serving(); StandIn after = serving(); StandIn agent = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + chunk("{\"revision\":2,\"complete\":true,\"members\":["
+                    + Rigged.member(2, after.address(), "c", "ready") + "]}\n"));
+            socket.getInputStream().read();
+        }); Rigged rig = new Rigged(Rigged.config("automatic", agent.address(),
+                Rigged.member(1, before.address(), "c", "ready")), null)) {
+            until("moved to the listed target", () -> answers(rig, "HTTP/1.1 200") && !after.requests.isEmpty());
+            assertTrue(agent.requests.get(0).line(), agent.requests.get(0).line().contains("watch=1"));
+        }
+    }
+
     /** One that counts anew tells changes from lower on: asked from the old revision, it was refused each time, for good. */
     @Test
     public void aDiscoveryThatCountsAnewIsAskedForTheWholeList() throws Exception {
