--- a/node/src/main/java/fawnlb/actor/Mailbox.java
+++ b/node/src/main/java/fawnlb/actor/Mailbox.java
@@ -4,15 +4,12 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 
 /**
  * The mailbox of one actor: its messages run one at a time, in the order in which they were told, on the
  * given executor. An actor's state is touched by its own messages alone.
  */
 public final class Mailbox {
-    private static final Logger LOG = Logger.getLogger(Mailbox.class.getName());
     /** So many messages run in one go; then other actors have their turn. */
     private static final int TURN = 64;
 
@@ -61,25 +58,12 @@
                 break;
             }
             size.decrementAndGet();
-            try {
-                message.run().run();
-            } catch (RuntimeException | Error e) {
-                // One bad message must not stop this actor, or the thread that all actors share.
-                LOG.log(Level.SEVERE, "message failed", e);
-                failed(message);
-            }
+            // One bad message must not stop this actor, or the thread that all actors share.
+            Guard.run(message.run(), "message failed", message.failed());
         }
         scheduled.set(false);
         if (!messages.isEmpty()) {
             schedule();
         }
     }
-
-    private static void failed(Message message) {
-        try {
-            message.failed().run();
-        } catch (RuntimeException | Error e) {
-            LOG.log(Level.SEVERE, "what follows a failed message failed too", e);
-        }
-    }
 }
--- a/node/src/main/java/fawnlb/http/BodyReader.java
+++ b/node/src/main/java/fawnlb/http/BodyReader.java
@@ -1,5 +1,6 @@
 package fawnlb.http;
 
+import fawnlb.actor.Guard;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
@@ -16,8 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
@@ -27,7 +26,6 @@
  * its limit, which ends the process, and it passes over chunks that can't be read.
  */
 public final class BodyReader {
-    private static final Logger LOG = Logger.getLogger(BodyReader.class.getName());
     private static final int LARGEST_BODY = 256 * 1024;
     private static final int FIRST_ROOM = 8 * 1024;
     /** A client that stops half-way through its body is owed an error within 3 s of its connect. */
@@ -108,8 +106,15 @@
             }
         }
 
-        /** Reads below Undertow's own framing, from what came with the head on. */
         private void read() {
+            Guard.run(this::readOn, "a request could not be taken", () -> {
+                end();
+                refused.refuse(exchange, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
+            });
+        }
+
+        /** Reads below Undertow's own framing, from what came with the head on. */
+        private void readOn() {
             while (!done) {
                 PooledByteBuffer pooled = connection.getExtraBytes();
                 connection.setExtraBytes(null);
@@ -139,10 +144,6 @@
                     refuse(e.status, e.getMessage());
                 } catch (IOException e) {
                     abandon();
-                } catch (RuntimeException e) {
-                    LOG.log(Level.SEVERE, "a request could not be taken", e);
-                    end();
-                    refused.refuse(exchange, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
                 } finally {
                     if (!rest && pooled != null) {
                         pooled.close();
--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -1,11 +1,10 @@
 package fawnlb.http;
 
+import fawnlb.actor.Guard;
 import fawnlb.actor.Timers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -18,7 +17,6 @@
  * runs on one I/O thread.
  */
 public final class Connection {
-    private static final Logger LOG = Logger.getLogger(Connection.class.getName());
     private static final int READ_SIZE = 16 * 1024;
     /** What one read brings is copied out before the next, so a thread needs only one. */
     private static final ThreadLocal<ByteBuffer> READ = ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(READ_SIZE));
@@ -157,16 +155,12 @@
             return;
         }
         Call told = call;
-        try {
-            take();
-        } catch (RuntimeException e) {
-            // Nobody expects it, and whoever waits for the call must not wait for ever.
-            LOG.log(Level.SEVERE, "an answer could not be taken", e);
+        Guard.run(this::take, "an answer could not be taken", () -> {
             close();
             if (told != null) {
                 told.broken(Break.UNREADABLE);
             }
-        }
+        });
     }
 
     private void take() {
--- a/node/src/main/java/fawnlb/probation/Probation.java
+++ b/node/src/main/java/fawnlb/probation/Probation.java
@@ -53,8 +53,9 @@
     private double expected;
     private Listed empty;
     private long emptyUntil = NEVER;
-    /** Until then no remembered target is tried; {@link #NEVER} once they are. */
-    private long firstWordUntil = NEVER;
+    /** Discovery may still have the first word; until then no remembered target is tried. */
+    private boolean awaitsWord;
+    private long firstWordUntil;
 
     /**
      * Times in nanoseconds. {@code halfLife}: after which a memory weighs half; {@code proofs}: answers that prove a
@@ -109,7 +110,7 @@
             case FULL -> whole(now, news);
             case DELTA -> changes(news);
             case FAILED -> {
-                firstWordUntil = firstWordUntil == NEVER ? NEVER : now;
+                firstWordUntil = now;
                 yield news;
             }
             case VIEW -> news;
@@ -126,7 +127,8 @@
                 boxes.put(replica.id(), new Box(replica, weight(now, replica.id()), mix(replica.id() ^ seed)));
             }
         }
-        firstWordUntil = rules.firstWord() > 0 ? now + rules.firstWord() : NEVER;
+        awaitsWord = true;
+        firstWordUntil = now + rules.firstWord();
         expected = boxes.values().stream().mapToDouble(box -> box.weight).sum();
         admit(now);
         if (!boxes.isEmpty()) {
@@ -229,7 +231,7 @@
 
     @Override
     public long wakeAt() {
-        long at = boxes.isEmpty() ? emptyUntil : Math.min(emptyUntil, firstWordUntil);
+        long at = boxes.isEmpty() || !awaitsWord ? emptyUntil : Math.min(emptyUntil, firstWordUntil);
         for (Box box : boxes.values()) {
             if (box.state == State.DOUBTED) {
                 at = Math.min(at, box.until);
@@ -273,10 +275,10 @@
 
     /** Lets targets be tried, the likeliest first, while fewer are being tried without an answer than may be. */
     private void admit(long now) {
-        if (now < firstWordUntil && firstWordUntil != NEVER) {
+        if (awaitsWord && now < firstWordUntil) {
             return;
         }
-        firstWordUntil = NEVER;
+        awaitsWord = false;
         int most = Math.max(rules.atOnce(), (int) Math.round(expected));
         long trying = boxes.values().stream().filter(box -> box.state == State.PROVING && box.answers == 0).count();
         boxes.values().stream().filter(box -> box.state == State.REMEMBERED)
--- a/node/src/test/java/fawnlb/cli/Launch.java
+++ b/node/src/test/java/fawnlb/cli/Launch.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -31,6 +32,35 @@
         return new ProcessBuilder("/bin/sh", "-c", text).directory(new File("..")).redirectErrorStream(true).start();
     }
 
+    /** A process whose output is read, and which ends with its test. */
+    static final class Running implements AutoCloseable {
+        final Process process;
+        final BufferedReader log;
+
+        Running(Process process) {
+            this.process = process;
+            this.log = new BufferedReader(new InputStreamReader(process.getInputStream()));
+        }
+
+        /** Reads on to the line that holds these words; all that was read. */
+        String until(String words) throws IOException {
+            StringBuilder said = new StringBuilder();
+            for (String line = log.readLine(); line != null; line = log.readLine()) {
+                said.append(line).append('\n');
+                if (line.contains(words)) {
+                    return said.toString();
+                }
+            }
+            throw new IOException("the process ended without '" + words + "'");
+        }
+
+        @Override
+        public void close() throws IOException {
+            process.destroyForcibly();
+            log.close();
+        }
+    }
+
     /** Sends a signal by its name; unlike {@link Process#destroy}, it leaves what the process says to be read. */
     static void signal(Process process, String name) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
--- a/node/src/test/java/fawnlb/cli/LongDaysIT.java
+++ b/node/src/test/java/fawnlb/cli/LongDaysIT.java
@@ -8,12 +8,10 @@
 import static fawnlb.cli.StandIn.write;
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
-import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertTrue;
 
-import java.io.BufferedReader;
+import fawnlb.cli.Launch.Running;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -42,10 +40,9 @@
     @Test
     public void aBurstOfSilentClientsDoesNotTakeTheLastDescriptor() throws Exception {
         Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1", ""));
-        Process node = Launch.after("ulimit -n 200", "serve", "--config", config.toString());
         List<SocketChannel> silent = new ArrayList<>();
-        try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
-             Socket first = connect(log, "serves on")) {
+        try (Running node = new Running(Launch.after("ulimit -n 200", "serve", "--config", config.toString()));
+             Socket first = connect(node.log, "serves on")) {
             for (int i = 0; i < 600; i++) {
                 SocketChannel client = SocketChannel.open();
                 silent.add(client);
@@ -57,11 +54,10 @@
                 String answer = new String(late.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
                 assertTrue(answer, answer.startsWith("HTTP/1.1 200"));
             }
-            signal(node, "TERM");
-            String rest = log.lines().collect(Collectors.joining("\n"));
+            signal(node.process, "TERM");
+            String rest = node.log.lines().collect(Collectors.joining("\n"));
             assertFalse(rest, rest.contains("Too many open files"));
         } finally {
-            node.destroyForcibly();
             for (SocketChannel client : silent) {
                 client.close();
             }
@@ -84,10 +80,10 @@
                     Rigged.member(1, "127.0.0.1:" + deaf.getLocalPort(), "c", "ready"))
                     .replace("\"sockets\":200", "\"sockets\":1024").replace("\"most-held\":100", "\"most-held\":2000"));
             Path believed = Rigged.file("{\"probation\":{\"on\":false}}");
-            Process node = Launch.after("ulimit -n 1024", "serve", "--config", config.toString(), "--start", believed.toString());
             List<Socket> clients = new ArrayList<>();
-            try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
-                 Socket first = connect(log, "serves on")) {
+            try (Running node = new Running(Launch.after("ulimit -n 1024", "serve", "--config", config.toString(), "--start",
+                    believed.toString()));
+                 Socket first = connect(node.log, "serves on")) {
                 for (String head : heads) {
                     for (int i = 0; i < 620; i++) {
                         Socket client = connect(first.getPort());
@@ -102,9 +98,8 @@
                     }
                     clients.clear();
                 }
-                assertTrue("still running", node.isAlive());
+                assertTrue("still running", node.process.isAlive());
             } finally {
-                node.destroyForcibly();
                 for (Socket client : clients) {
                     client.close();
                 }
@@ -152,39 +147,28 @@
         })) {
             Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
                     Rigged.member(1, target.address(), "c", "ready")));
-            Process node = Launch.start("serve", "--config", config.toString());
-            try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
-                 Socket client = connect(log, "serves on")) {
+            try (Running node = new Running(Launch.start("serve", "--config", config.toString()));
+                 Socket client = connect(node.log, "serves on")) {
                 write(client, Rigged.chat("id", 3000));
                 assertTrue(client.getInputStream().read() > 0);
-                signal(node, "TERM");
+                signal(node.process, "TERM");
                 Files.writeString(config, "{\"name\": ");
                 // The listener closes a moment after the signal: the end has begun by then.
                 Rigged.until("ending", () -> refuses(client.getPort()));
-                signal(node, "HUP");
-                String line = log.readLine();
-                while (line != null && !line.contains("not reloaded")) {
-                    line = log.readLine();
-                }
-                assertNotNull("the log goes on", line);
+                signal(node.process, "HUP");
+                // The log goes on.
+                node.until("not reloaded");
                 ending.countDown();
-                assertTrue("ends by itself", node.waitFor(5, TimeUnit.SECONDS));
-                assertEquals(143, node.exitValue());
+                assertTrue("ends by itself", node.process.waitFor(5, TimeUnit.SECONDS));
+                assertEquals(143, node.process.exitValue());
             } finally {
                 ending.countDown();
-                node.destroyForcibly();
             }
         }
-        Process deaf = Launch.after("trap '' HUP", "serve", "--config",
-                Rigged.file(Rigged.config("automatic", "127.0.0.1:1", "")).toString());
-        try (BufferedReader log = new BufferedReader(new InputStreamReader(deaf.getInputStream()))) {
-            String said = "";
-            while (!said.contains("serves on")) {
-                said += log.readLine();
-            }
+        try (Running deaf = new Running(Launch.after("trap '' HUP", "serve", "--config",
+                Rigged.file(Rigged.config("automatic", "127.0.0.1:1", "")).toString()))) {
+            String said = deaf.until("serves on");
             assertTrue(said, said.contains("SIGHUP is ignored"));
-        } finally {
-            deaf.destroyForcibly();
         }
     }
 
@@ -203,17 +187,12 @@
         ServerSocket predecessor = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1", "")
                 .replace(":0\"", ":" + predecessor.getLocalPort() + '"'));
-        Process node = Launch.start("serve", "--config", config.toString());
-        try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()))) {
-            String line = log.readLine();
-            while (line != null && !line.contains("in use")) {
-                line = log.readLine();
-            }
+        try (Running node = new Running(Launch.start("serve", "--config", config.toString()))) {
+            node.until("in use");
             predecessor.close();
-            connect(log, "serves on").close();
+            connect(node.log, "serves on").close();
         } finally {
             predecessor.close();
-            node.destroyForcibly();
         }
     }
 }
