Try no remembered target, and deny readiness, until discovery has answered or failed

Line at fault: StartConfig.firstWord, a wait in place of knowledge. Each call for the list ends in an answer or a failure, after 3 s of silence at the latest, so that is what is waited for now; an empty line, first thing on a watch, says that nothing has changed and is an answer. Where an operator has the list believed as it stands, nothing is waited for.

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -146,15 +146,21 @@
                 recorder.heard(kind, list);
             }
             core[0].listed(listed(kind, list, targets));
+            if (kind != Balancer.ListKind.CACHED) {
+                front.heard();
+            }
         });
         // Where lists are pushed, it is to an agent on this machine, and the node has to ask that one.
         flows = new Flows(settings.asked(), config.seed(), (s, seed, sink) -> new Views(views, Choice::new, s, seed, sink),
                 new Mailbox(thread, MAILBOX), timers, targets, discovery);
         core[0] = flows;
-        discovery.known(remembered.list());
         BodyReader bodies = new BodyReader(BODIES);
         OpenIds ids = new OpenIds();
         front = new PlatformFront(flows, bodies, ids, settings, !messageKinds().isEmpty());
+        if (start.believed()) {
+            front.heard();
+        }
+        discovery.known(remembered.list());
         int each = connections.mostAccepted() / (broker == null ? 1 : 2);
         listen(config.listen(), front, each);
         if (broker != null) {
--- a/node/src/main/java/fawnlb/config/StartConfig.java
+++ b/node/src/main/java/fawnlb/config/StartConfig.java
@@ -12,7 +12,6 @@
  */
 public record StartConfig(Path snapshot, Recorder.Pace pace, long oldest, boolean believed, Probation.Rules probation) {
     private static final long MS = 1_000_000;
-    private static final long PART_OF_AIM = 3;
     private static final long DAY_MS = 86_400_000;
 
     /** What holds without a file: nothing is kept, and the configuration's own list is on probation. */
@@ -45,11 +44,6 @@
     private static Probation.Rules rules(Settings settings, long halfLife, int proofs, long settle, int waiting,
                                          int atOnce, long doubt, long longestDoubt, long hold) {
         return new Probation.Rules(halfLife * MS, proofs, settle * MS, waiting, settings.routers(), atOnce, doubt * MS,
-                longestDoubt * MS, hold * MS, firstWord(settings));
-    }
-
-    /** A request that waits for it can still be in time elsewhere. */
-    private static long firstWord(Settings settings) {
-        return settings.classes().stream().mapToLong(type -> type.aim() / PART_OF_AIM).min().orElse(0);
+                longestDoubt * MS, hold * MS, true);
     }
 }
--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.logging.Logger;
 import org.xnio.XnioIoThread;
@@ -124,6 +125,7 @@
         private Connection connection;
         private Timers.Timer patience;
         private boolean done;
+        private boolean told;
 
         Watch(String path, boolean watching) {
             this.path = path;
@@ -172,7 +174,12 @@
                     if (!watching) {
                         whole.append(text);
                     } else if (!text.isBlank()) {
+                        told = true;
                         line(text, true);
+                    } else if (!told) {
+                        // Nothing has changed since the version that was asked from: that is an answer too.
+                        told = true;
+                        subscriber.accept(ListKind.DELTA, new MemberList(revision, false, List.of()));
                     }
                 }
                 connection.more();
--- a/node/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/node/src/main/java/fawnlb/platform/PlatformFront.java
@@ -28,6 +28,7 @@
     private final OpenIds ids;
     private final AskReader asks;
     private final boolean mixed;
+    private volatile boolean heard;
     private volatile boolean draining;
 
     /** Mixed: some targets speak the other dialect, so that every request must be one that can be translated. */
@@ -39,6 +40,11 @@
         this.mixed = mixed;
     }
 
+    /** Discovery has answered or failed: until then the node does not know where to send, and others that do are better asked. */
+    public void heard() {
+        heard = true;
+    }
+
     /** From here on readiness is denied. */
     public void drain() {
         draining = true;
@@ -47,8 +53,8 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         switch (exchange.getRequestPath()) {
-            case "/health/ready" -> text(exchange, draining ? StatusCodes.SERVICE_UNAVAILABLE : StatusCodes.OK,
-                    draining ? "draining" : "ready");
+            case "/health/ready" -> text(exchange, heard && !draining ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE,
+                    draining ? "draining" : heard ? "ready" : "waiting for discovery");
             case "/v1/chat/completions" -> {
                 if (exchange.getRequestMethod().equals(Methods.POST)) {
                     bodies.receive(exchange, this::take, PlatformFront::text);
--- a/node/src/main/java/fawnlb/probation/Probation.java
+++ b/node/src/main/java/fawnlb/probation/Probation.java
@@ -53,9 +53,9 @@
     private double expected;
     private Listed empty;
     private long emptyUntil = NEVER;
-    /** Discovery may still have the first word; until then no remembered target is tried. */
+    /** Discovery has been asked and has neither answered nor failed; until then no remembered target is tried. */
     private boolean awaitsWord;
-    private long firstWordUntil;
+    private long admitAt = NEVER;
 
     /**
      * Times in nanoseconds. {@code halfLife}: after which a memory weighs half; {@code proofs}: answers that prove a
@@ -63,12 +63,12 @@
      * await their first token at one unproven target, from all nodes together; {@code routers}: how many nodes;
      * {@code atOnce}: targets that may be tried at once at least; {@code doubt}, {@code longestDoubt}: how long a
      * target is left alone after a failure, doubled with each up to the longest; {@code hold}: how long an empty list
-     * is not believed while targets are held, 0 to believe it at once; {@code firstWord}: how long discovery may take to
-     * answer before remembered targets are tried: the address of one may belong to another by now, and a node may send only
-     * to what its list has named.
+     * is not believed while targets are held, 0 to believe it at once; {@code firstWord}: whether remembered targets
+     * are tried only when discovery has answered, or failed to: the address of one may belong to another by now, and a node may
+     * send only to what its list has named.
      */
     public record Rules(long halfLife, int proofs, long settle, int waiting, int routers, int atOnce, long doubt,
-                        long longestDoubt, long hold, long firstWord) {
+                        long longestDoubt, long hold, boolean firstWord) {
         /** This node's part of what all nodes may have waiting at an unproven target. */
         int part() {
             return Math.max(1, waiting / Math.max(1, routers));
@@ -110,7 +110,8 @@
             case FULL -> whole(now, news);
             case DELTA -> changes(news);
             case FAILED -> {
-                firstWordUntil = now;
+                admitAt = awaitsWord ? now : admitAt;
+                awaitsWord = false;
                 yield news;
             }
             case VIEW -> news;
@@ -127,8 +128,7 @@
                 boxes.put(replica.id(), new Box(replica, weight(now, replica.id()), mix(replica.id() ^ seed)));
             }
         }
-        awaitsWord = true;
-        firstWordUntil = now + rules.firstWord();
+        awaitsWord = rules.firstWord();
         expected = boxes.values().stream().mapToDouble(box -> box.weight).sum();
         admit(now);
         if (!boxes.isEmpty()) {
@@ -231,7 +231,7 @@
 
     @Override
     public long wakeAt() {
-        long at = boxes.isEmpty() || !awaitsWord ? emptyUntil : Math.min(emptyUntil, firstWordUntil);
+        long at = boxes.isEmpty() ? emptyUntil : Math.min(emptyUntil, admitAt);
         for (Box box : boxes.values()) {
             if (box.state == State.DOUBTED) {
                 at = Math.min(at, box.until);
@@ -275,10 +275,10 @@
 
     /** Lets targets be tried, the likeliest first, while fewer are being tried without an answer than may be. */
     private void admit(long now) {
-        if (awaitsWord && now < firstWordUntil) {
+        if (awaitsWord) {
             return;
         }
-        awaitsWord = false;
+        admitAt = NEVER;
         int most = Math.max(rules.atOnce(), (int) Math.round(expected));
         long trying = boxes.values().stream().filter(box -> box.state == State.PROVING && box.answers == 0).count();
         boxes.values().stream().filter(box -> box.state == State.REMEMBERED)
--- a/node/src/test/java/fawnlb/cli/LongDaysIT.java
+++ b/node/src/test/java/fawnlb/cli/LongDaysIT.java
@@ -41,7 +41,8 @@
     public void aBurstOfSilentClientsDoesNotTakeTheLastDescriptor() throws Exception {
         Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1", ""));
         List<SocketChannel> silent = new ArrayList<>();
-        try (Running node = new Running(Launch.after("ulimit -n 200", "serve", "--config", config.toString()));
+        try (Running node = new Running(Launch.after("ulimit -n 200", "serve", "--config", config.toString(),
+                "--start", Rigged.file("{\"probation\":{\"on\":false}}").toString()));
              Socket first = connect(node.log, "serves on")) {
             for (int i = 0; i < 600; i++) {
                 SocketChannel client = SocketChannel.open();
--- a/node/src/test/java/fawnlb/cli/StartWithoutDiscoveryTest.java
+++ b/node/src/test/java/fawnlb/cli/StartWithoutDiscoveryTest.java
@@ -66,6 +66,43 @@
         }
     }
 
+    /**
+     * What stands behind a remembered address may be another target by now, of no list that this node was given. No time that
+     * passes tells; an answer does, be it that nothing has changed, and so does a call that fails.
+     */
+    @Test
+    public void aNodeIsReadyAndTriesRememberedTargetsOnceDiscoveryHasSpokenAndNotBefore() throws Exception {
+        String ready = "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        for (String word : new String[] {head(200, CHUNKED) + chunk("\n"), head(200, CHUNKED) + chunk("{\"revision\":2,"
+                + "\"members\":[]}\n"), head(503, "Content-Length: 0\r\n")}) {
+            CountDownLatch speaks = new CountDownLatch(1);
+            try (StandIn target = serving();
+                 StandIn discovery = new StandIn((request, socket) -> {
+                     speaks.await(10, TimeUnit.SECONDS);
+                     write(socket, word);
+                     socket.getInputStream().read();
+                 });
+                 Rigged rigged = new Rigged(Rigged.config("subscribe", discovery.address(),
+                         Rigged.member(1, target.address(), "c", "ready")), null, "{}")) {
+                Rigged.until("asked", () -> !discovery.requests.isEmpty());
+                assertTrue(rigged.ask(0, ready).startsWith("HTTP/1.1 503"));
+                String early = rigged.ask(0, Rigged.chat("early", 100));
+                assertTrue(early, early.startsWith("HTTP/1.1 503") && early.contains("Retry-After"));
+                assertEquals(0, target.requests.size());
+                speaks.countDown();
+                Rigged.until("ready", () -> {
+                    try {
+                        return rigged.ask(0, ready).startsWith("HTTP/1.1 200");
+                    } catch (IOException e) {
+                        return false;
+                    }
+                });
+                String answer = rigged.ask(0, Rigged.chat("id", 3000));
+                assertTrue(answer, answer.startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
     /** Nothing more is sent to a target that has not yet answered than its room: here one of three nodes' eight. */
     @Test
     public void anUnprovenTargetHoldsFewThatWait() throws Exception {
--- a/node/src/test/java/fawnlb/probation/ProbationTest.java
+++ b/node/src/test/java/fawnlb/probation/ProbationTest.java
@@ -26,7 +26,7 @@
     private final Map<Long, Integer> shown = new HashMap<>();
 
     private static Probation.Rules rules(long hold) {
-        return new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, hold, 0);
+        return new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, hold, false);
     }
 
     private static Replica replica(long id, Phase phase) {
@@ -220,25 +220,25 @@
      * sent 50 ms after a start and 200 ms before discovery had answered.
      */
     @Test
-    public void discoveryIsGivenTheFirstWordAndNoneIsWaitedForWhereItFails() {
-        for (ListKind word : new ListKind[] {ListKind.FULL, ListKind.FAILED, ListKind.VIEW}) {
-            Probation probation = new Probation(new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, 0, S / 2), 1, Map.of(),
-                    line -> { });
-            show(probation.listed(NOW, list(ListKind.CACHED, 1, 2)));
-            assertEquals(Map.of(1L, 0, 2L, 0), shown);
-            assertEquals(NOW + S / 2, probation.wakeAt());
-            long at = word == ListKind.VIEW ? NOW + S / 2 : NOW + S / 10;
-            if (word != ListKind.VIEW) {
-                show(probation.listed(at, word == ListKind.FULL ? list(word, 2, 3) : new Listed(word, 0, List.of())));
+    public void discoveryIsGivenTheFirstWordHoweverLongItTakesAndNoneIsWaitedForWhereItFails() {
+        for (ListKind word : new ListKind[] {ListKind.FULL, ListKind.DELTA, ListKind.FAILED}) {
+            for (long at : new long[] {NOW, NOW + S / 10, NOW + HOUR}) {
+                Probation probation = new Probation(new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, 0, true), 1, Map.of(),
+                        line -> { });
+                show(probation.listed(NOW, list(ListKind.CACHED, 1, 2)));
+                assertEquals(Map.of(1L, 0, 2L, 0), shown);
+                assertEquals("no time makes up for it", Long.MAX_VALUE, probation.wakeAt());
+                show(probation.listed(at, word == ListKind.FAILED ? new Listed(word, 0, List.of()) : list(word, 2, 3)));
+                if (word == ListKind.FAILED) {
+                    assertEquals(at, probation.wakeAt());
+                    show(probation.woken(at));
+                    assertEquals(Map.of(1L, 1, 2L, 1), shown);
+                } else {
+                    assertEquals(word == ListKind.FULL ? Map.of(2L, Replica.ALL, 3L, Replica.ALL)
+                            : Map.of(1L, Replica.ALL, 2L, Replica.ALL, 3L, Replica.ALL), shown);
+                }
+                assertEquals(Long.MAX_VALUE, probation.wakeAt());
             }
-            if (word == ListKind.FULL) {
-                assertEquals(Map.of(2L, Replica.ALL, 3L, Replica.ALL), shown);
-            } else {
-                assertEquals(at, probation.wakeAt());
-                show(probation.woken(at));
-                assertEquals(Map.of(1L, 1, 2L, 1), shown);
-            }
-            assertEquals(Long.MAX_VALUE, probation.wakeAt());
         }
     }
 }
