Look at the eldest idle connection alone, and drop a setting that was always on

Probation.Rules.firstWord was true everywhere but in tests; the tests now let discovery fail, as a node does. Two tests caught log lines alike; LogLines serves both. Assertions are as they were.

--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -50,16 +50,13 @@
      */
     private void retire() {
         long now = timers.now();
-        long due = now + patience;
-        for (StreamConnection each : idle()) {
-            long since = since(each);
-            if (now - since < patience) {
-                due = Math.min(due, since + patience);
-                break;
-            }
-            closeUnlessAsked(each);
+        StreamConnection eldest = eldestIdle();
+        while (eldest != null && now - since(eldest) >= patience) {
+            closeUnlessAsked(eldest);
+            eldest = eldestIdle();
         }
-        timers.after(Math.max(LEAST_PAUSE, due - now), this::retire);
+        long left = eldest == null ? patience : since(eldest) + patience - now;
+        timers.after(Math.max(LEAST_PAUSE, left), this::retire);
     }
 
     /**
@@ -133,21 +130,27 @@
         }
         looking = true;
         try {
-            return idle().stream().anyMatch(this::closeUnlessAsked);
+            // Each look closes the eldest, or finds that another is the eldest now.
+            for (int looks = size(); looks > 0; looks--) {
+                StreamConnection eldest = eldestIdle();
+                if (eldest == null || closeUnlessAsked(eldest)) {
+                    return eldest != null;
+                }
+            }
+            return false;
         } finally {
             looking = false;
         }
     }
 
-    /** Those that are, the one that has been so for longest first. */
-    private synchronized List<StreamConnection> idle() {
-        List<StreamConnection> idle = new ArrayList<>();
-        open.forEach((connection, since) -> {
-            if (since != SERVING) {
-                idle.add(connection);
+    /** The one that has been idle for longest, null if none is. */
+    private synchronized StreamConnection eldestIdle() {
+        for (Map.Entry<StreamConnection, Long> entry : open.entrySet()) {
+            if (entry.getValue() != SERVING) {
+                return entry.getKey();
             }
-        });
-        return idle;
+        }
+        return null;
     }
 
     /** Since when it has been idle, {@link #SERVING} if it is not; also if it is closed. */
@@ -181,7 +184,11 @@
 
     /** Closes the idle ones; how many are still serving. To be called on the thread that reads them. */
     public int closeIdle() {
-        idle().forEach(this::closeUnlessAsked);
+        List<StreamConnection> all;
+        synchronized (this) {
+            all = new ArrayList<>(open.keySet());
+        }
+        all.forEach(this::closeUnlessAsked);
         return size();
     }
 
--- a/node/src/main/java/fawnlb/config/StartConfig.java
+++ b/node/src/main/java/fawnlb/config/StartConfig.java
@@ -44,6 +44,6 @@
     private static Probation.Rules rules(Settings settings, long halfLife, int proofs, long settle, int waiting,
                                          int atOnce, long doubt, long longestDoubt, long hold) {
         return new Probation.Rules(halfLife * MS, proofs, settle * MS, waiting, settings.routers(), atOnce, doubt * MS,
-                longestDoubt * MS, hold * MS, true);
+                longestDoubt * MS, hold * MS);
     }
 }
--- a/node/src/main/java/fawnlb/probation/Probation.java
+++ b/node/src/main/java/fawnlb/probation/Probation.java
@@ -53,7 +53,10 @@
     private double expected;
     private Listed empty;
     private long emptyUntil = NEVER;
-    /** Discovery has been asked and has neither answered nor failed; until then no remembered target is tried. */
+    /**
+     * Discovery has been asked and has neither answered nor failed. Until then no remembered target is tried: the address of
+     * one may belong to another by now, and a node may send only to what its list has named.
+     */
     private boolean awaitsWord;
     private long admitAt = NEVER;
 
@@ -63,12 +66,10 @@
      * await their first token at one unproven target, from all nodes together; {@code routers}: how many nodes;
      * {@code atOnce}: targets that may be tried at once at least; {@code doubt}, {@code longestDoubt}: how long a
      * target is left alone after a failure, doubled with each up to the longest; {@code hold}: how long an empty list
-     * is not believed while targets are held, 0 to believe it at once; {@code firstWord}: whether remembered targets
-     * are tried only when discovery has answered, or failed to: the address of one may belong to another by now, and a node may
-     * send only to what its list has named.
+     * is not believed while targets are held, 0 to believe it at once.
      */
     public record Rules(long halfLife, int proofs, long settle, int waiting, int routers, int atOnce, long doubt,
-                        long longestDoubt, long hold, boolean firstWord) {
+                        long longestDoubt, long hold) {
         /** This node's part of what all nodes may have waiting at an unproven target. */
         int part() {
             return Math.max(1, waiting / Math.max(1, routers));
@@ -128,7 +129,7 @@
                 boxes.put(replica.id(), new Box(replica, weight(now, replica.id()), mix(replica.id() ^ seed)));
             }
         }
-        awaitsWord = rules.firstWord();
+        awaitsWord = true;
         expected = boxes.values().stream().mapToDouble(box -> box.weight).sum();
         admit(now);
         if (!boxes.isEmpty()) {
--- /dev/null
+++ b/node/src/test/java/fawnlb/LogLines.java
@@ -0,0 +1,35 @@
+package fawnlb;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** What is logged under a name, from its making to its end. */
+public final class LogLines extends Handler implements AutoCloseable {
+    private final Logger logger;
+    private final List<String> lines = new CopyOnWriteArrayList<>();
+
+    public LogLines(String name) {
+        logger = Logger.getLogger(name);
+        logger.addHandler(this);
+    }
+
+    public List<String> lines() {
+        return lines;
+    }
+
+    @Override
+    public void publish(LogRecord record) {
+        lines.add(record.getMessage());
+    }
+
+    @Override
+    public void flush() { }
+
+    @Override
+    public void close() {
+        logger.removeHandler(this);
+    }
+}
--- a/node/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -11,6 +11,7 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.LogLines;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -23,10 +24,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
 import org.junit.Test;
 
 /** One short test on real sockets for each rule. */
@@ -308,28 +305,12 @@
     /** A line for each of them was 900 a second once, and hid all others. */
     @Test
     public void manyCallsThatFailAlikeAreOneLineInTheLog() throws Exception {
-        List<String> lines = new CopyOnWriteArrayList<>();
-        Handler handler = new Handler() {
-            @Override
-            public void publish(LogRecord record) {
-                lines.add(record.getMessage());
-            }
-
-            @Override
-            public void flush() { }
-
-            @Override
-            public void close() { }
-        };
-        Logger logger = Logger.getLogger("fawnlb.discovery.Discovery");
-        logger.addHandler(handler);
-        try (StandIn discovery = new StandIn((request, socket) -> write(socket, head(503, EMPTY)));
+        try (LogLines log = new LogLines("fawnlb.discovery.Discovery");
+             StandIn discovery = new StandIn((request, socket) -> write(socket, head(503, EMPTY)));
              Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(), ""), null)) {
             until("called again and again", () -> discovery.requests.size() >= 12);
             assertEquals(0, rig.node.open());
-            assertEquals(lines.toString(), 1, lines.stream().filter(line -> line.contains("status 503")).count());
-        } finally {
-            logger.removeHandler(handler);
+            assertEquals(log.lines().toString(), 1, log.lines().stream().filter(line -> line.contains("status 503")).count());
         }
     }
 
--- a/node/src/test/java/fawnlb/client/ListenersTest.java
+++ b/node/src/test/java/fawnlb/client/ListenersTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 
+import fawnlb.LogLines;
 import fawnlb.actor.IoTurn;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -10,9 +11,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
 import org.junit.Test;
 import org.xnio.ChannelListeners;
 import org.xnio.OptionMap;
@@ -26,24 +24,9 @@
     /** On r9e4702 some 250 lines of it in a planned end, each with a stack trace, on half a core. */
     @Test
     public void closingHandsOverWhoWasAcceptedAndLogsNoFaults() throws Exception {
-        List<String> said = new CopyOnWriteArrayList<>();
-        Handler log = new Handler() {
-            @Override
-            public void publish(LogRecord record) {
-                said.add(record.getMessage());
-            }
-
-            @Override
-            public void flush() { }
-
-            @Override
-            public void close() { }
-        };
-        Logger xnio = Logger.getLogger("org.xnio.listener");
-        xnio.addHandler(log);
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         List<Socket> clients = new ArrayList<>();
-        try {
+        try (LogLines log = new LogLines("org.xnio.listener")) {
             List<StreamConnection> handed = new CopyOnWriteArrayList<>();
             AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
@@ -64,9 +47,8 @@
             busy.countDown();
             IoTurn.take(worker.getIoThread(), () -> null);
             IoTurn.take(worker.getIoThread(), () -> null);
-            assertEquals(List.of(), said);
+            assertEquals(List.of(), log.lines());
         } finally {
-            xnio.removeHandler(log);
             worker.shutdownNow();
             for (Socket client : clients) {
                 client.close();
--- a/node/src/test/java/fawnlb/probation/ProbationTest.java
+++ b/node/src/test/java/fawnlb/probation/ProbationTest.java
@@ -26,7 +26,7 @@
     private final Map<Long, Integer> shown = new HashMap<>();
 
     private static Probation.Rules rules(long hold) {
-        return new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, hold, false);
+        return new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, hold);
     }
 
     private static Replica replica(long id, Phase phase) {
@@ -52,8 +52,14 @@
     private Probation start(long age, long hold, long... ids) {
         Map<Long, Long> heard = new HashMap<>();
         LongStream.of(ids).forEach(id -> heard.put(id, age < 0 ? 0 : NOW - age));
-        Probation probation = new Probation(rules(hold), 1, heard, line -> { });
+        return begin(new Probation(rules(hold), 1, heard, line -> { }), ids);
+    }
+
+    /** From a remembered list, with a discovery that fails at once. */
+    private Probation begin(Probation probation, long... ids) {
         show(probation.listed(NOW, list(ListKind.CACHED, ids)));
+        probation.listed(NOW, new Listed(ListKind.FAILED, 0, List.of()));
+        show(probation.woken(NOW));
         return probation;
     }
 
@@ -87,9 +93,8 @@
 
     @Test
     public void theLatestHeardOfIsTriedFirstAndAnAnswerLetsTheNextBeTried() {
-        Probation probation = new Probation(rules(0), 1, Map.of(1L, NOW - 48 * HOUR, 2L, NOW - 24 * HOUR, 3L, NOW - 30 * HOUR,
-                4L, NOW - 40 * HOUR), line -> { });
-        show(probation.listed(NOW, list(ListKind.CACHED, 1, 2, 3, 4)));
+        Probation probation = begin(new Probation(rules(0), 1, Map.of(1L, NOW - 48 * HOUR, 2L, NOW - 24 * HOUR,
+                3L, NOW - 30 * HOUR, 4L, NOW - 40 * HOUR), line -> { }), 1, 2, 3, 4);
         assertEquals(Map.of(1L, 0, 2L, 1, 3L, 1, 4L, 1), shown);
         answers(probation, NOW + S, 2);
         assertEquals(Map.of(1L, 1, 2L, 2, 3L, 1, 4L, 1), shown);
@@ -208,7 +213,7 @@
         for (long seed : new long[] {1, 2}) {
             Map<Long, Long> heard = new HashMap<>();
             LongStream.of(ids).forEach(id -> heard.put(id, NOW - 48 * HOUR));
-            show(new Probation(rules(0), seed, heard, line -> { }).listed(NOW, list(ListKind.CACHED, ids)));
+            begin(new Probation(rules(0), seed, heard, line -> { }), ids);
             shown.forEach((id, room) -> first.merge(id, room, Integer::sum));
         }
         assertTrue(first.toString(), first.values().stream().anyMatch(room -> room == 0)
@@ -223,8 +228,7 @@
     public void discoveryIsGivenTheFirstWordHoweverLongItTakesAndNoneIsWaitedForWhereItFails() {
         for (ListKind word : new ListKind[] {ListKind.FULL, ListKind.DELTA, ListKind.FAILED}) {
             for (long at : new long[] {NOW, NOW + S / 10, NOW + HOUR}) {
-                Probation probation = new Probation(new Probation.Rules(HOUR, 3, 9 * S, 8, 3, 3, S, 16 * S, 0, true), 1, Map.of(),
-                        line -> { });
+                Probation probation = new Probation(rules(0), 1, Map.of(), line -> { });
                 show(probation.listed(NOW, list(ListKind.CACHED, 1, 2)));
                 assertEquals(Map.of(1L, 0, 2L, 0), shown);
                 assertEquals("no time makes up for it", Long.MAX_VALUE, probation.wakeAt());
