Look at all sockets between two requests of a connection, and two pieces of an answer

Ruled out: the client's side (the connection was whole, reset by the client only after a second), the module (7 ms), the targets' reads (2 ms), the accepts (49 to 209 ms). At fault: Undertow queues a connection's next request, when it has come already, as a task, and XNIO's WorkerThread runs tasks until none is left before it looks at sockets and timers; Connections.serving let it. Connection.more woke the read up as a task too, so that a target that sends without a pause had the thread to itself. Now the next request waits until the socket is found writable, which is after a look at all sockets and only when its client takes what it got, and the next piece until the socket is found readable.

--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -12,6 +12,7 @@
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
@@ -110,13 +111,30 @@
         exchange.addExchangeCompleteListener((done, next) -> {
             if (((HttpServerConnection) done.getConnection()).getExtraBytes() == null) {
                 idle(connection);
+                next.proceed();
+            } else {
+                // The next request came early.
+                afterOthers(connection, next::proceed);
             }
-            // Else the next request came early, and is read in a moment.
-            next.proceed();
         });
         return room;
     }
 
+    /**
+     * Lets the I/O thread look at all sockets before it goes on with this connection, whose client takes what it got. Undertow
+     * would queue the next request as a task, and XNIO looks at no socket and no timer while tasks are left: 600 requests
+     * sent at once kept lists and streams waiting for over a second.
+     */
+    private static void afterOthers(StreamConnection connection, Runnable next) {
+        ConduitStreamSinkChannel sink = connection.getSinkChannel();
+        sink.setWriteListener(c -> {
+            sink.suspendWrites();
+            sink.setWriteListener(null);
+            next.run();
+        });
+        sink.resumeWrites();
+    }
+
     private synchronized void idle(StreamConnection connection) {
         if (open.remove(connection) != null) {
             open.put(connection, timers.now());
--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -122,10 +122,13 @@
         writable();
     }
 
-    /** Asks for the next piece of the body. */
+    /**
+     * Asks for the next piece of the body. It comes when the I/O thread has looked at all sockets again: a wake-up would be
+     * a task, and a target that sends without a pause would have the thread to itself.
+     */
     public void more() {
         if (!closed) {
-            channel.getSourceChannel().wakeupReads();
+            channel.getSourceChannel().resumeReads();
         }
     }
 
--- a/node/src/test/java/fawnlb/client/ConnectionsTest.java
+++ b/node/src/test/java/fawnlb/client/ConnectionsTest.java
@@ -11,7 +11,9 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -35,7 +37,7 @@
     private static final long PATIENCE = 1000;
     private static final String REQUEST = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
-    private final HttpOpenListener reader = new HttpOpenListener(new DefaultByteBufferPool(true, 1024, 9, 0));
+    private final HttpOpenListener reader = new HttpOpenListener(new DefaultByteBufferPool(true, 2048, 9, 0));
     private final BlockingQueue<StreamConnection> accepted = new LinkedBlockingQueue<>();
     private XnioWorker worker;
     private Connections connections;
@@ -43,21 +45,23 @@
     private long now;
     private AcceptingChannel<StreamConnection> server;
 
+    private final class ByHand implements Timers {
+        @Override
+        public long now() {
+            return ++now;
+        }
+
+        @Override
+        public Timer after(long nanos, Runnable task) {
+            retire = task;
+            return () -> { };
+        }
+    }
+
     @Before
     public void listen() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        connections = new Connections(1, PATIENCE, new Timers() {
-            @Override
-            public long now() {
-                return ++now;
-            }
-
-            @Override
-            public Timer after(long nanos, Runnable task) {
-                retire = task;
-                return () -> { };
-            }
-        });
+        connections = new Connections(1, PATIENCE, new ByHand());
         reader.setRootHandler(exchange -> {
             connections.serving(exchange);
             exchange.getResponseSender().send("served\n");
@@ -157,4 +161,38 @@
             assertEquals("closed when its time is up", -1, kept.getInputStream().read());
         }
     }
+
+    /** On the day join+brink clients sent 600 requests at once, and the streams of all others stood still for over a second. */
+    @Test
+    public void requestsSentAheadHoldUpNobodyElse() throws Exception {
+        int ahead = 30;
+        connections = new Connections(9, PATIENCE, new ByHand());
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        List<String> served = new CopyOnWriteArrayList<>();
+        reader.setRootHandler(exchange -> {
+            connections.serving(exchange);
+            if (served.isEmpty()) {
+                begun.countDown();
+                written.await();
+            }
+            served.add(exchange.getRequestPath());
+            exchange.getResponseSender().send("served\n");
+        });
+        try (Socket flood = connect(); Socket other = connect()) {
+            for (int i = 0; i < 2; i++) {
+                StreamConnection next = accepted.poll(10, TimeUnit.SECONDS);
+                onIoThread(() -> connections.accept(next, reader));
+            }
+            flood.getOutputStream().write("GET /ahead HTTP/1.1\r\nHost: x\r\n\r\n".repeat(ahead).getBytes(StandardCharsets.ISO_8859_1));
+            assertTrue(begun.await(10, TimeUnit.SECONDS));
+            ask(other);
+            written.countDown();
+            assertServed(other);
+            for (int i = 0; i < ahead; i++) {
+                assertServed(flood);
+            }
+            assertTrue("served after " + served.indexOf("/") + " of " + ahead, served.indexOf("/") <= 2);
+        }
+    }
 }
