Send nothing that waited for its connection too long, and fail at the last call what ran

Target.Exchange.opened sent without a look. It now asks first; sendBy is counted from the first attempt that may have run, at its decision, so it is never later than the rule's. Flows.lastCall, 25 ms behind the deadline, refused whatever the class was. On a late I/O thread its message stands before the target's end and the module's own answer: an unsafe request that may have run was told to come again. Ruled out: the module (it counts the window from the same moment and fails such requests itself). Tests: TargetPoolTest (three orders, a connect that can't come up before the list), FlowsTest (last call by effect, window from the first that may have run).

--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -22,6 +22,9 @@
     /** If the module has no answer by then, the core gives one: a flow is never left open. */
     private static final long LAST_CALL = 25_000_000;
     private static final long DEFAULT_RETRY_AFTER = 1_000_000_000;
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final Balancer.RequestClass UNKNOWN_CLASS = new Balancer.RequestClass(Balancer.Effect.UNSAFE,
+            Balancer.Group.CELL, 0, 0, 0, 0, 0, 0, 0, false);
 
     private final Balancer.Settings settings;
     private final Balancer balancer;
@@ -60,6 +63,8 @@
         int attempts;
         Ending last;
         Out out;
+        /** When the first forward that may have run was sent. */
+        long ranFrom = NEVER;
 
         Flow(long id, Ask ask, Listener listener, long deadline) {
             this.id = id;
@@ -145,7 +150,14 @@
     private void lastCall(Flow flow) {
         if (!flow.over) {
             LOG.warning("flow " + flow.id + " had no answer at its deadline");
-            finish(flow, () -> flow.listener.refused(flow.last, retryAfter(0)));
+            boolean harmless = repeatable(flow);
+            finish(flow, () -> {
+                if (harmless) {
+                    flow.listener.refused(flow.last, retryAfter(0));
+                } else {
+                    flow.listener.failed(flow.last);
+                }
+            });
             tell(new Balancer.ClientGone(flow.id));
         }
     }
@@ -239,7 +251,8 @@
                 stop(flow, End.OUT_OF_TIME);
             }
         }));
-        out.forward = targets.forward(send.replica(), flow.ask, Math.max(0, stopAt - now), repeatable(flow),
+        boolean again = type(flow).effect() == Balancer.Effect.SAFE && flow.attempts < settings.limits().attempts();
+        out.forward = targets.forward(send.replica(), flow.ask, Math.max(0, stopAt - now), sendBy(flow), again,
                 new Targets.Report() {
                     @Override
                     public void started(Source source) {
@@ -263,10 +276,22 @@
                 });
     }
 
-    private boolean repeatable(Flow flow) {
+    private Balancer.RequestClass type(Flow flow) {
         int type = flow.ask.type();
-        return type >= 0 && type < settings.classes().size()
-                && settings.classes().get(type).effect() == Balancer.Effect.SAFE && flow.attempts < settings.limits().attempts();
+        return type >= 0 && type < settings.classes().size() ? settings.classes().get(type) : UNKNOWN_CLASS;
+    }
+
+    /** Whether its client may ask again: it does so once it is refused. */
+    private boolean repeatable(Flow flow) {
+        Balancer.RequestClass type = type(flow);
+        return type.effect() == Balancer.Effect.SAFE || flow.out == null && flow.ranFrom == NEVER
+                || type.effect() == Balancer.Effect.KEYED && type.group() == Balancer.Group.ALL;
+    }
+
+    /** A connect takes its time: a repeat that was decided within the window of a keyed class may be sent behind it. */
+    private long sendBy(Flow flow) {
+        Balancer.RequestClass type = type(flow);
+        return type.effect() == Balancer.Effect.SAFE || flow.ranFrom == NEVER ? NEVER : flow.ranFrom + type.window();
     }
 
     // ---- What becomes of forwards ---------------------------------------------------------------------
@@ -315,6 +340,7 @@
         }
         flow.out = null;
         flow.last = ending;
+        flow.ranFrom = ending.outcome().mayHaveRun() ? Math.min(flow.ranFrom, out.sentAt) : flow.ranFrom;
         out.stop.cancel();
         boolean over = flow.over;
         forget(flow);
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -56,6 +56,7 @@
     private final Streams streams;
     private final Deque<Idle> idle = new ArrayDeque<>();
     private boolean left;
+    private boolean draining;
 
     private record Idle(Connection connection, long since) { }
 
@@ -95,9 +96,15 @@
         });
     }
 
-    /** Prompt tokens, patience and again: as {@link Streams#open} has them. */
-    Targets.Forward forward(Parcel parcel, double promptTokens, long patience, boolean again, Targets.Report report) {
-        Running running = new Running(parcel, patience, report);
+    /** Whether it is to finish what it has and get nothing new, not even what still waits for its connection. */
+    void drains(boolean now) {
+        mailbox.tell(() -> draining = now);
+    }
+
+    /** Prompt tokens and again: as {@link Streams#open} has them; the rest as {@link Targets#forward}. */
+    Targets.Forward forward(Parcel parcel, double promptTokens, long patience, long sendBy, boolean again,
+            Targets.Report report) {
+        Running running = new Running(parcel, patience, sendBy, report);
         boolean told = mailbox.tell(() -> {
             running.open(promptTokens, patience, again);
             running.begin();
@@ -180,6 +187,10 @@
             if (done) {
                 return;
             }
+            if (!mayBeSent()) {
+                finish(End.NOT_SENT);
+                return;
+            }
             connection = idleConnection();
             if (connection != null) {
                 send();
@@ -198,6 +209,9 @@
                 finish(End.NOT_CONNECTED);
             } else if (done) {
                 keep(opened);
+            } else if (!mayBeSent()) {
+                keep(opened);
+                finish(End.NOT_SENT);
             } else {
                 connection = opened;
                 send();
@@ -253,6 +267,9 @@
             }
         }
 
+        /** Asked before its connection is looked for, and when it has come up, which may be long after it was decided on. */
+        abstract boolean mayBeSent();
+
         abstract void whole();
 
         abstract void ended(End end);
@@ -261,6 +278,7 @@
     private final class Running extends Exchange implements Source, Streams.Owner {
         private final Targets.Report report;
         private final Parcel parcel;
+        private final long sendBy;
         private Translation translation;
         private Translation witness;
         private final Tail tail = new Tail();
@@ -278,9 +296,10 @@
         private State timedFor;
         private Timers.Timer discard;
 
-        Running(Parcel parcel, long patience, Targets.Report report) {
+        Running(Parcel parcel, long patience, long sendBy, Targets.Report report) {
             super(parcel.request(dialect, host(), patience));
             this.parcel = parcel;
+            this.sendBy = sendBy;
             this.report = report;
         }
 
@@ -495,6 +514,11 @@
             });
         }
 
+        @Override
+        boolean mayBeSent() {
+            return !left && !draining && timers.now() < sendBy;
+        }
+
         @Override
         void whole() {
             try {
@@ -600,6 +624,11 @@
             connection.more();
         }
 
+        @Override
+        boolean mayBeSent() {
+            return true;
+        }
+
         @Override
         void whole() {
             finish(head.status() == 200 ? End.WHOLE : End.TURNED_AWAY);
--- a/node/src/main/java/fawnlb/target/TargetPool.java
+++ b/node/src/main/java/fawnlb/target/TargetPool.java
@@ -51,7 +51,11 @@
             target.leave();
         }
         if (phase != Phase.GONE && (target == null || changed)) {
-            targets.put(id, new Target(id, address, since, dialect, thread, timers, new Mailbox(thread, MAILBOX), limits, this, streams));
+            target = new Target(id, address, since, dialect, thread, timers, new Mailbox(thread, MAILBOX), limits, this, streams);
+            targets.put(id, target);
+        }
+        if (phase != Phase.GONE) {
+            target.drains(phase == Phase.DRAINING);
         }
     }
 
@@ -67,13 +71,13 @@
     }
 
     @Override
-    public Forward forward(long id, Ask ask, long patience, boolean again, Report report) {
+    public Forward forward(long id, Ask ask, long patience, long sendBy, boolean again, Report report) {
         Target target = targets.get(id);
         if (target == null || !((Parcel) ask.parcel()).speaks(target.dialect())) {
             report.ended(Ending.of(End.NOT_SENT), 0, List.of());
             return end -> { };
         }
-        return target.forward((Parcel) ask.parcel(), ask.promptTokens(), patience, again, report);
+        return target.forward((Parcel) ask.parcel(), ask.promptTokens(), patience, sendBy, again, report);
     }
 
     /** Where a target listens, {@code -} if it is not listed. */
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -25,20 +25,25 @@
     private final List<String> seen = new ArrayList<>();
     private final List<Balancer.Event> events = new ArrayList<>();
     private final List<Targets.Report> reports = new ArrayList<>();
+    private final List<Long> sendBys = new ArrayList<>();
     private final Hand hand = new Hand();
     /** The kind of event at which the module throws. */
     private Class<?> faulty;
     private Balancer.Sink module;
-    private final Flows flows = new Flows(new SettingsParser("limits.most-tries=3\nlimits.most-held=2").settings(), 1,
-            (settings, seed, sink) -> {
-                module = sink;
-                return (now, event) -> {
-                    events.add(event);
-                    if (event.getClass() == faulty) {
-                        throw new IllegalStateException("meant to fail");
-                    }
-                };
-            }, new Mailbox(Runnable::run, 100), hand, new ByHand(), new NoRoster());
+    private Flows flows = flows("");
+
+    private Flows flows(String classes) {
+        return new Flows(new SettingsParser("limits.most-tries=3\nlimits.most-held=2\n" + classes).settings(), 1,
+                (settings, seed, sink) -> {
+                    module = sink;
+                    return (now, event) -> {
+                        events.add(event);
+                        if (event.getClass() == faulty) {
+                            throw new IllegalStateException("meant to fail");
+                        }
+                    };
+                }, new Mailbox(Runnable::run, 100), hand, new ByHand(), new NoRoster());
+    }
 
     /** A clock that moves when told. */
     private static final class Hand implements Timers {
@@ -69,8 +74,9 @@
 
     private final class ByHand implements Targets {
         @Override
-        public Forward forward(long target, Ask ask, long patience, boolean again, Report report) {
+        public Forward forward(long target, Ask ask, long patience, long sendBy, boolean again, Report report) {
             reports.add(report);
+            sendBys.add(sendBy);
             int number = reports.size();
             seen.add("forward " + target);
             return end -> {
@@ -292,4 +298,48 @@
         assertNotNull(before);
         assertEquals(1, flows.open());
     }
+
+    /** The module's own answer can come behind the last call where the thread is late; its client must not ask again. */
+    @Test
+    public void theLastCallFailsWhatMayHaveRunAndMayNotRunAgain() {
+        take();
+        module.act(new Send(1, 7, 0));
+        reports.get(0).ended(Ending.of(End.BROKEN), 0, List.of());
+        hand.pass(116 * MS);
+        assertEquals(List.of("forward 7", "failed broken-before-head"), seen);
+    }
+
+    @Test
+    public void theLastCallRefusesWhatMayRunAgainOrNeverRan() {
+        take();
+        module.act(new Send(1, 7, 0));
+        reports.get(0).ended(Ending.of(End.TURNED_AWAY), 0, List.of());
+        hand.pass(116 * MS);
+        assertEquals(List.of("forward 7", "refused turned-away 1000"), seen);
+        for (String effect : List.of("safe", "keyed\nprofiles.0.group=all")) {
+            seen.clear();
+            reports.clear();
+            flows = flows("profiles.count=1\nprofiles.0.effect=" + effect);
+            take();
+            module.act(new Send(1, 7, 0));
+            reports.get(0).ended(Ending.of(End.BROKEN), 0, List.of());
+            hand.pass(116 * MS);
+            assertEquals(effect, List.of("forward 7", "refused broken-before-head 1000"), seen);
+        }
+    }
+
+    @Test
+    public void aRepeatOfAKeyedClassIsNotSentBehindItsWindow() {
+        flows = flows("profiles.count=1\nprofiles.0.effect=keyed\nprofiles.0.group=zone\nprofiles.0.window-ns=50000000");
+        take();
+        module.act(new Send(1, 7, 0));
+        reports.get(0).ended(Ending.of(End.NOT_CONNECTED), 0, List.of());
+        hand.pass(10 * MS);
+        long ran = hand.now();
+        module.act(new Send(1, 7, 0));
+        hand.pass(10 * MS);
+        reports.get(1).ended(Ending.of(End.BROKEN), 0, List.of());
+        module.act(new Send(1, 8, 0));
+        assertEquals("counted from the first that may have run", List.of(Long.MAX_VALUE, Long.MAX_VALUE, ran + 50 * MS), sendBys);
+    }
 }
--- a/node/src/test/java/fawnlb/target/TargetPoolTest.java
+++ b/node/src/test/java/fawnlb/target/TargetPoolTest.java
@@ -12,11 +12,19 @@
 import fawnlb.stream.Ending;
 import fawnlb.stream.Rules;
 import fawnlb.stream.Streams;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.junit.After;
 import org.junit.Test;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -26,48 +34,107 @@
 
 public class TargetPoolTest {
     private static final int LIVES = 50;
+    private static final long SECOND = 1_000_000_000;
+
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+    private final IoTimers timers;
+    private final Streams streams = new Streams(Rules.standard());
+    private final TargetPool pool;
+    private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+    private final Targets.Report report = new Targets.Report() {
+        @Override
+        public void started(Source source) { }
+
+        @Override
+        public void rejected(Source source) { }
+
+        @Override
+        public void parked() { }
+
+        @Override
+        public void ended(Ending ending, long kept, List<Double> load) {
+            ends.add(ending.word());
+        }
+    };
+
+    public TargetPoolTest() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        thread = worker.getIoThread();
+        timers = new IoTimers(thread);
+        pool = new TargetPool(thread, timers, new TargetPool.Limits(SECOND / 4, SECOND, 1, 50, List.of()), streams);
+    }
+
+    @After
+    public void end() {
+        worker.shutdownNow();
+    }
+
+    private void forward(int id, long sendBy, String named) {
+        pool.forward(id, new Ask(0, 0, 1, 0, SECOND, 1, 0, 1, false, new Parcel(Dialect.CHAT, "/", named, true,
+                new byte[2], null, new Parcel.Tally(false))), SECOND, sendBy, true, report);
+    }
 
     /** Long days replace targets all the time: one that left with a forward on its way was kept for good. */
     @Test
     public void aTargetThatLeavesWithAForwardOnItsWayIsForgotten() throws Exception {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        try {
-            XnioIoThread thread = worker.getIoThread();
-            Streams streams = new Streams(Rules.standard());
-            TargetPool pool = new TargetPool(thread, new IoTimers(thread),
-                    new TargetPool.Limits(250_000_000, 1_000_000_000, 1, 50, List.of()), streams);
-            CountDownLatch ended = new CountDownLatch(LIVES);
-            Targets.Report report = new Targets.Report() {
-                @Override
-                public void started(Source source) { }
-
-                @Override
-                public void rejected(Source source) { }
-
-                @Override
-                public void parked() { }
+        thread.execute(() -> {
+            for (int id = 1; id <= LIVES; id++) {
+                InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+                pool.place(id, address, 0, Phase.READY, Dialect.CHAT);
+                forward(id, Long.MAX_VALUE, "i" + id);
+                pool.place(id, address, 0, Phase.GONE, Dialect.CHAT);
+            }
+        });
+        for (int i = 0; i < LIVES; i++) {
+            assertTrue(ends.poll(10, TimeUnit.SECONDS) != null);
+        }
+        CompletableFuture<Integer> kept = new CompletableFuture<>();
+        thread.execute(() -> kept.complete(streams.figures().size()));
+        assertEquals(0, (int) kept.get(10, TimeUnit.SECONDS));
+    }
 
-                @Override
-                public void ended(Ending ending, long kept, List<Double> load) {
-                    ended.countDown();
-                }
-            };
+    /** What becomes of a forward whose connection comes up when this has happened; the next one is what the target reads. */
+    private void notSentAfter(long sendBy, Phase... phases) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+            // All in one turn of the thread: the connect is on its way, and can't come up before its end.
             thread.execute(() -> {
-                for (int id = 1; id <= LIVES; id++) {
-                    InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-                    pool.place(id, address, 0, Phase.READY, Dialect.CHAT);
-                    Ask ask = new Ask(0, 0, 1, 0, 1_000_000_000, 1, 0, 1, false, new Parcel(Dialect.CHAT, "/", "i" + id, true,
-                            new byte[2], null, new Parcel.Tally(false)));
-                    pool.forward(id, ask, 1_000_000_000, true, report);
-                    pool.place(id, address, 0, Phase.GONE, Dialect.CHAT);
+                pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
+                forward(1, sendBy, "early");
+                for (Phase phase : phases) {
+                    pool.place(1, address, 0, phase, Dialect.CHAT);
                 }
             });
-            assertTrue(ended.await(10, TimeUnit.SECONDS));
-            CompletableFuture<Integer> kept = new CompletableFuture<>();
-            thread.execute(() -> kept.complete(streams.figures().size()));
-            assertEquals(0, (int) kept.get(10, TimeUnit.SECONDS));
-        } finally {
-            worker.shutdownNow();
+            assertEquals("not-sent", ends.poll(10, TimeUnit.SECONDS));
+            thread.execute(() -> {
+                pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
+                forward(1, Long.MAX_VALUE, "next");
+            });
+            try (Socket first = server.accept()) {
+                Socket socket = phases.length > 0 && phases[0] == Phase.GONE ? server.accept() : first;
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+                in.readLine();
+                in.readLine();
+                assertEquals("X-Request-Id: next", in.readLine());
+                assertEquals("nothing came before", -1, first == socket ? -1 : first.getInputStream().read());
+            }
         }
     }
+
+    /** It was decided before the list came, and its connect takes its time: it is not sent behind the grace. */
+    @Test
+    public void aForwardThatWaitsForItsConnectionIsNotSentToATargetThatDrains() throws Exception {
+        notSentAfter(Long.MAX_VALUE, Phase.DRAINING);
+    }
+
+    @Test
+    public void aForwardThatWaitsForItsConnectionIsNotSentToATargetThatIsGone() throws Exception {
+        notSentAfter(Long.MAX_VALUE, Phase.GONE);
+    }
+
+    @Test
+    public void aForwardIsNotSentWhenItsTimeToBeSentIsOver() throws Exception {
+        notSentAfter(timers.now());
+    }
 }
