Handle SIGTERM before the node lets clients in, and let a start that waits give up

Found by reading: Main installed the handler behind node.start(), so that a SIGTERM between the first 200 of /health/ready and the handler ended the process at once, with the requests it had taken. The handler comes first now; the planned end waits for a start that is under way, and one that waits for its predecessor's address gives up instead of waiting for 10 s. Test: NodeRulesTest.aNodeThatIsToldToEndWhileItStartsGivesUpWaitingForItsAddress (times out without the mend); the moment between the first 200 and the handler can't be forced, it is gone by the order of the two lines.

--- a/node/src/main/java/fawnlb/cli/Main.java
+++ b/node/src/main/java/fawnlb/cli/Main.java
@@ -107,9 +107,10 @@
             if (!Signals.handle("HUP", () -> reload(node))) {
                 LOG.warning("SIGHUP is ignored by whoever started this process: the configuration can't be read again");
             }
-            node.start();
-            // By a handler and not by a shutdown hook alone, at which the platform would close the log at once.
+            // By a handler and not by a shutdown hook alone, at which the platform would close the log at once; before the node
+            // lets clients in, for the signal may come between its first answer and its last step.
             Signals.handle("TERM", () -> end(node));
+            node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         }
     }
--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -109,6 +109,8 @@
     private Connections connections;
     private final Object ending = new Object();
     private boolean ended;
+    private boolean started;
+    private volatile boolean toldToEnd;
     private XnioWorker worker;
     private PlatformFront front;
     private Flows flows;
@@ -174,6 +176,7 @@
             new AdminFront(streams, targets::address).logEvery(stream.figuresEvery(), timers);
         }
         watch(thread, timers);
+        started = true;
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
 
@@ -269,6 +272,9 @@
                 if (!why.contains("in use") || System.nanoTime() - began > PREDECESSOR) {
                     throw new BindException(address + ": " + why);
                 }
+                if (toldToEnd) {
+                    throw new InterruptedIOException("told to end while " + address + " was in use");
+                }
                 if (!said) {
                     said = true;
                     LOG.warning(address + " is still in use; waits for it for " + PREDECESSOR / SECOND + " s");
@@ -320,10 +326,14 @@
         discovery.move(read.discovery());
     }
 
-    /** SIGTERM: takes what still comes for a moment, answers all that was taken, and ends. Whoever asks again waits for it. */
+    /**
+     * SIGTERM: takes what still comes for a moment, answers all that was taken, and ends. Whoever asks again waits for it. A
+     * start that is under way comes to its end before, for it may have let clients in.
+     */
     void drain() {
+        toldToEnd = true;
         synchronized (ending) {
-            if (!ended) {
+            if (!ended && started()) {
                 front.drain();
                 connections.drain();
                 try {
@@ -339,6 +349,10 @@
         }
     }
 
+    private synchronized boolean started() {
+        return started;
+    }
+
     private void awaitAnswers() throws InterruptedException {
         long began = System.nanoTime();
         long next = STILL_SERVING;
