See a client leave behind what it sent ahead

Found by reading: ClientExchange read one buffer behind a request and then stopped reading for as long as the request was served, so that a client that sent a byte more and went was not seen to go: its request waited on, was sent on, and its answer was read to the end. Ruled out: half-close, close and reset without bytes ahead were seen before (NodeRulesTest.aClientThatLeavesCallsTheForwardOff).

--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -49,11 +49,8 @@
     /** From here on the exchange answers for the flow, and tells it if the client leaves. */
     public void serve(Flows.Ticket taken) {
         ticket = taken;
-        // Undertow does not read while a request is being served, and would not see its client leave.
         connection.getChannel().getSourceChannel().setReadListener(c -> readable());
-        if (connection.getExtraBytes() == null) {
-            connection.getOriginalSourceConduit().resumeReads();
-        }
+        connection.getOriginalSourceConduit().resumeReads();
         serving = connection.getAttachment(SERVING);
         if (serving == null) {
             serving = new Serving();
@@ -104,32 +101,39 @@
         }
     }
 
+    /** Undertow does not read while a request is served. We do, to see the client leave, be it behind bytes of its next request. */
     private void readable() {
-        if (done || connection.getExtraBytes() != null) {
-            // What comes while the answer is still on its way out must not call us again and again, and what
-            // comes behind a request that waits its turn must not be put before it.
+        if (done) {
+            // What comes while the answer is still on its way out must not call us again and again.
             connection.getOriginalSourceConduit().suspendReads();
             return;
         }
-        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-        boolean kept = false;
+        PooledByteBuffer early = connection.getExtraBytes();
+        if (early == null) {
+            early = connection.getByteBufferPool().allocate();
+            early.getBuffer().limit(0);
+            connection.setExtraBytes(early);
+        }
+        ByteBuffer bytes = early.getBuffer();
+        bytes.compact();
+        if (!bytes.hasRemaining()) {
+            // Clients ask for one thing at a time. One that sends so much ahead is not read for more than its leaving.
+            exchange.setPersistent(false);
+            bytes.clear();
+        }
+        boolean gone;
         try {
-            int n = connection.getOriginalSourceConduit().read(pooled.getBuffer());
-            if (n < 0) {
-                left();
-            } else if (n > 0) {
-                // The next request came early: it waits its turn, unread.
-                connection.getOriginalSourceConduit().suspendReads();
-                pooled.getBuffer().flip();
-                connection.ungetRequestBytes(pooled);
-                kept = true;
-            }
+            gone = connection.getOriginalSourceConduit().read(bytes) < 0;
         } catch (IOException e) {
+            gone = true;
+        }
+        bytes.flip();
+        if (!bytes.hasRemaining()) {
+            early.close();
+            connection.setExtraBytes(null);
+        }
+        if (gone) {
             left();
-        } finally {
-            if (!kept) {
-                pooled.close();
-            }
         }
     }
 
--- a/node/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -12,6 +12,9 @@
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.LogLines;
+import fawnlb.config.NodeConfig;
+import fawnlb.config.StartConfig;
+import fawnlb.config.StreamConfig;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -20,7 +23,9 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -177,29 +182,41 @@
 
     @Test
     public void aClientThatLeavesCallsTheForwardOff() throws Exception {
-        for (boolean streaming : new boolean[] {false, true}) {
-            CountDownLatch asked = new CountDownLatch(1);
-            CountDownLatch closed = new CountDownLatch(1);
-            try (StandIn target = new StandIn((request, socket) -> {
+        clientLeaves(false, "");
+        clientLeaves(true, "");
+    }
+
+    /** Some send their next request, or much more than one, and go. */
+    @Test
+    public void aClientThatLeavesBehindWhatItSentAheadIsSeenToLeave() throws Exception {
+        for (String ahead : List.of("GET", Rigged.chat("ahead", 4000), "GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(2000))) {
+            clientLeaves(false, ahead);
+            clientLeaves(true, ahead);
+        }
+    }
+
+    private static void clientLeaves(boolean streaming, String ahead) throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> {
+            if (streaming) {
+                write(socket, head(200, CHUNKED) + chunk(EVENT));
+            }
+            asked.countDown();
+            if (socket.getInputStream().read() < 0) {
+                closed.countDown();
+            }
+        }); Rigged rig = Rigged.with(target)) {
+            try (Socket client = rig.connect(0)) {
+                write(client, chat("id", 4000).replace("Connection: close\r\n", "") + ahead);
+                assertTrue(asked.await(5, TimeUnit.SECONDS));
                 if (streaming) {
-                    write(socket, head(200, CHUNKED) + chunk(EVENT));
+                    client.getInputStream().read();
                 }
-                asked.countDown();
-                if (socket.getInputStream().read() < 0) {
-                    closed.countDown();
-                }
-            }); Rigged rig = Rigged.with(target)) {
-                try (Socket client = rig.connect(0)) {
-                    write(client, chat("id", 4000));
-                    assertTrue(asked.await(5, TimeUnit.SECONDS));
-                    if (streaming) {
-                        client.getInputStream().read();
-                    }
-                }
-                assertTrue("streaming " + streaming, closed.await(2, TimeUnit.SECONDS));
-                until("nothing open", () -> rig.node.open() == 0);
-                assertEquals(1, target.requests.size());
             }
+            assertTrue("streaming " + streaming, closed.await(2, TimeUnit.SECONDS));
+            until("nothing open", () -> rig.node.open() == 0);
+            assertEquals(1, target.requests.size());
         }
     }
 
@@ -492,4 +509,26 @@
             assertFalse(rig.node.open() > 1);
         }
     }
+
+    /** The signal may come at any time of a start, and must not leave a process that ends only when its address is free. */
+    @Test
+    public void aNodeThatIsToldToEndWhileItStartsGivesUpWaitingForItsAddress() throws Exception {
+        try (ServerSocket predecessor = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            NodeConfig config = NodeConfig.read(Rigged.file(Rigged.config("automatic", "127.0.0.1:1", "")
+                    .replace("127.0.0.1:0", "127.0.0.1:" + predecessor.getLocalPort())), Map.of());
+            Node node = new Node(config, null, StartConfig.none(config.settings()), StreamConfig.none());
+            FutureTask<String> start = new FutureTask<>(() -> {
+                try {
+                    node.start();
+                    return "started";
+                } catch (IOException e) {
+                    return e.getMessage();
+                }
+            });
+            new Thread(start).start();
+            node.drain();
+            String how = start.get(5, TimeUnit.SECONDS);
+            assertTrue(how, how.contains("told to end"));
+        }
+    }
 }
