Pass the client's Idempotency-Key on to the target

At fault: Parcel.request writes a head of its own and left out by what a target knows a repeat of a keyed request. It is passed on as it came by both fronts; given twice, it is a 400, as every header that a target might read otherwise. Test: NodeRulesTest.theKeyByWhichTargetsKnowARepeatIsPassedOn, which the program without it fails (the header is null).

--- a/node/src/main/java/fawnlb/http/Heads.java
+++ b/node/src/main/java/fawnlb/http/Heads.java
@@ -29,6 +29,19 @@
                 exchange.getRequestHeaders().get(Headers.CONTENT_LENGTH));
     }
 
+    /**
+     * A header's one value, null if it is missing.
+     *
+     * @throws IllegalArgumentException if it is given more than once: a target might believe the other
+     */
+    public static String one(HttpServerExchange exchange, String name) {
+        HeaderValues values = exchange.getRequestHeaders().get(name);
+        if (values != null && values.size() > 1) {
+            throw new IllegalArgumentException(name + " is given more than once");
+        }
+        return values == null ? null : values.getFirst();
+    }
+
     /** A request with both, or with two, may hide another in its body. */
     private static String framingFault(HeaderValues coding, HeaderValues length) {
         if (coding != null && (length != null || coding.size() > 1
--- a/node/src/main/java/fawnlb/messages/MessagesFront.java
+++ b/node/src/main/java/fawnlb/messages/MessagesFront.java
@@ -4,6 +4,7 @@
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
 import fawnlb.http.BodyReader;
+import fawnlb.http.Heads;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.Keys;
 import fawnlb.client.OpenIds;
@@ -164,7 +165,7 @@
         Dialect other = record.dialect() == Dialect.CHAT ? Dialect.MESSAGES : Dialect.CHAT;
         String query = exchange.getQueryString();
         Parcel parcel = new Parcel(record.dialect(), record.dialect().path() + (query.isEmpty() ? "" : '?' + query),
-                record.id(), prompt.stream(), body, prompt.write(other), tally);
+                record.id(), Heads.one(exchange, Parcel.IDEMPOTENCY_KEY), prompt.stream(), body, prompt.write(other), tally);
         String session = exchange.getRequestHeaders().getFirst("X-Key");
         return new Ask(type, settings.names().tenants().indexOf(contract.tenant()),
                 Keys.of(session != null ? session : prompt.user()), Keys.of(prompt.system()),
--- a/node/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/node/src/main/java/fawnlb/platform/PlatformFront.java
@@ -3,6 +3,7 @@
 import fawnlb.decision.Balancer.Settings;
 import fawnlb.actor.Mailbox;
 import fawnlb.http.BodyReader;
+import fawnlb.http.Heads;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.OpenIds;
 import fawnlb.client.Replies;
@@ -13,7 +14,6 @@
 import fawnlb.target.Parcel;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
@@ -77,8 +77,8 @@
                 throw new IllegalArgumentException("the request has no body");
             }
             byte[] translated = mixed ? Prompt.read(Dialect.CHAT, body).write(Dialect.MESSAGES) : null;
-            ask = asks.read(name -> one(exchange, name),
-                    new Parcel(Dialect.CHAT, path(exchange), id, true, body, translated, tally));
+            ask = asks.read(name -> Heads.one(exchange, name),
+                    new Parcel(Dialect.CHAT, path(exchange), id, Heads.one(exchange, Parcel.IDEMPOTENCY_KEY), true, body, translated, tally));
         } catch (IllegalArgumentException | Prompt.Bad e) {
             text(exchange, StatusCodes.BAD_REQUEST, e.getMessage());
             return;
@@ -98,22 +98,13 @@
     }
 
     private static String id(HttpServerExchange exchange) {
-        String id = one(exchange, "X-Request-Id");
+        String id = Heads.one(exchange, "X-Request-Id");
         if (id == null || !id.matches("[!-~]{1,128}")) {
             throw new IllegalArgumentException("X-Request-Id: expected one, of up to 128 visible characters");
         }
         return id;
     }
 
-    /** A header's one value, null if it is missing; of two, a target might believe the other. */
-    private static String one(HttpServerExchange exchange, String name) {
-        HeaderValues values = exchange.getRequestHeaders().get(name);
-        if (values != null && values.size() > 1) {
-            throw new IllegalArgumentException(name + " is given more than once");
-        }
-        return values == null ? null : values.getFirst();
-    }
-
     private static String path(HttpServerExchange exchange) {
         String query = exchange.getQueryString();
         return exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
--- a/node/src/main/java/fawnlb/target/Parcel.java
+++ b/node/src/main/java/fawnlb/target/Parcel.java
@@ -7,10 +7,13 @@
 
 /**
  * A request as it goes to a target: path with query, id and body as the client sent them. {@code translated}:
- * the body in the other dialect, null where no target speaks it.
+ * the body in the other dialect, null where no target speaks it. {@code idempotencyKey}: by which targets know a repeat, as the
+ * client sent it, null if it sent none.
  */
-public record Parcel(Dialect dialect, String path, String id, boolean stream, byte[] body, byte[] translated,
-                     Tally tally) implements Ask.Parcel {
+public record Parcel(Dialect dialect, String path, String id, String idempotencyKey, boolean stream, byte[] body,
+                     byte[] translated, Tally tally) implements Ask.Parcel {
+    /** The header of a client for its target: a node reads nothing in it, and must not lose it. */
+    public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
     /** What a target's answer told of itself; belongs to the I/O thread. */
     public static final class Tally {
@@ -74,7 +77,8 @@
     ByteBuffer[] request(Dialect to, String host, long patience) {
         byte[] content = to == dialect ? body : translated;
         byte[] head = ("POST " + (to == dialect ? path : to.path()) + " HTTP/1.1\r\nHost: " + host
-                + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + patience / 1_000_000
+                + "\r\nX-Request-Id: " + id + (idempotencyKey == null ? "" : "\r\n" + IDEMPOTENCY_KEY + ": " + idempotencyKey)
+                + "\r\nX-Deadline-Ms: " + patience / 1_000_000
                 + "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
         return new ByteBuffer[] {ByteBuffer.wrap(head), ByteBuffer.wrap(content)};
     }
--- a/node/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -56,6 +56,20 @@
         }
     }
 
+    /** Targets know a repeat of a keyed class by it; without it they take none of its requests. */
+    @Test
+    public void theKeyByWhichTargetsKnowARepeatIsPassedOn() throws Exception {
+        try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
+            rig.ask(0, chat("id-1", 3000, "idempotency-key: \"a b; c\"\r\n"));
+            rig.ask(0, chat("id-2", 3000));
+            assertEquals("\"a b; c\"", target.requests.get(0).headers().get("idempotency-key"));
+            assertFalse(target.requests.get(1).headers().containsKey("idempotency-key"));
+            String twice = rig.ask(0, chat("id-3", 3000, "Idempotency-Key: a\r\n", "Idempotency-Key: b\r\n"));
+            assertTrue(twice, twice.startsWith("HTTP/1.1 400") && twice.contains("given more than once"));
+            assertEquals(2, target.requests.size());
+        }
+    }
+
     @Test
     public void eventsPassAsTheyCome() throws Exception {
         CountDownLatch seen = new CountDownLatch(1);
--- a/node/src/test/java/fawnlb/target/TargetPoolTest.java
+++ b/node/src/test/java/fawnlb/target/TargetPoolTest.java
@@ -71,7 +71,7 @@
     }
 
     private void forward(int id, long sendBy, String named) {
-        pool.forward(id, new Ask(0, 0, 1, 0, SECOND, 1, 0, 1, false, new Parcel(Dialect.CHAT, "/", named, true,
+        pool.forward(id, new Ask(0, 0, 1, 0, SECOND, 1, 0, 1, false, new Parcel(Dialect.CHAT, "/", named, null, true,
                 new byte[2], null, new Parcel.Tally(false))), SECOND, sendBy, true, report);
     }
 
