--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -166,16 +166,17 @@
         serveHeld();
     }
 
-    /** What a silent subscription misses counts as told 6 s after its last word, and it is given up after 3.5 s. */
-    private static final long CALLS_AFTER_SILENCE = 2 * SECOND;
+    /** What a silent list misses counts as told 6 s after its last word, and it is given up after 3.5 s. */
+    private static final long AFTER_SILENCE = 2 * SECOND;
 
     /** Keeps one subscription alive, and spreads the calls of many routers that lost theirs together. */
     private void follow(ListKind kind) {
         following = kind == ListKind.DELTA || kind == ListKind.FULL;
         failedCalls = following ? 0 : failedCalls + (kind == ListKind.FAILED ? 1 : 0);
         if (!following) {
-            long spread = Math.min(Math.min(settings.rules().askWithin() / 5, settings.routers() * (SECOND / 50)), CALLS_AFTER_SILENCE);
-            long wait = (long) (random.nextDouble() * (spread << (failedCalls > 1 ? Math.min(failedCalls, 4) : 0)));
+            long spread = Math.min(settings.rules().askWithin() / 5, settings.routers() * (SECOND / 50));
+            spread = failedCalls > 1 ? spread << Math.min(failedCalls, 4) : Math.min(spread, AFTER_SILENCE);
+            long wait = (long) (random.nextDouble() * spread);
             askAt(now + Math.min(wait, settings.rules().askWithin() / 2));
         }
     }
