Let no difference of streams too short to matter refuse a session

At fault: judgePace holds streams against each other and nothing else; answers of microseconds that take milliseconds on a busy machine counted as slow streams, and a node with one quiet target refused the session. A stream shorter than a twentieth of its request's aim counts as that long now, the same part (LEAST_LAG) below which no lag matters.

--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -176,8 +176,7 @@
         if (!following) {
             long spread = Math.min(settings.rules().askWithin() / 5, settings.routers() * (SECOND / 50));
             spread = failedCalls > 1 ? spread << Math.min(failedCalls, 4) : Math.min(spread, AFTER_SILENCE);
-            long wait = (long) (random.nextDouble() * spread);
-            askAt(now + Math.min(wait, settings.rules().askWithin() / 2));
+            askAt(now + Math.min((long) (random.nextDouble() * spread), settings.rules().askWithin() / 2));
         }
     }
 
@@ -392,7 +391,7 @@
      * does while a replica is cold.
      */
     static final double SLOW = 2;
-    /** No lag below this part of a request's aim matters. */
+    /** No lag below this part of a request's aim matters, and no difference of streams that are shorter. */
     static final double LEAST_LAG = 0.05;
     private double usualLag;
 
@@ -525,7 +524,8 @@
         return kind == null ? node.pace : (own * node.pace + KIN * kind[0]) / (own + KIN);
     }
 
-    private void judgePace(Node node, Task task, double stream) {
+    private void judgePace(Node node, Task task, double took) {
+        double stream = Math.max(LEAST_LAG * task.aim, took) / task.tokens;
         int type = task.request.type();
         if (type < 0 || type >= typicalStream.length) {
             return;
@@ -813,7 +813,7 @@
         }
         judge(node, event.outcome(), attempt.streaming);
         if (event.outcome() == Outcome.SERVED && attempt.streaming) {
-            judgePace(node, task, Math.max(1, event.took() - attempt.firstToken) / task.tokens);
+            judgePace(node, task, event.took() - attempt.firstToken);
         }
         if (silent && !attempt.streaming || event.outcome() == Outcome.FULL) {
             judgeLoad(node, true);
--- a/node/src/test/java/fawnlb/policy/ExceptionsTest.java
+++ b/node/src/test/java/fawnlb/policy/ExceptionsTest.java
@@ -314,4 +314,18 @@
         assertEquals(2, rig.sends().size());
         assertNotEquals(first.replica(), rig.last().replica());
     }
+
+    /** Answers of microseconds that came to take milliseconds on a busy machine once had a quiet node refuse sessions. */
+    @Test
+    void streamsTooShortToMatterRefuseNoSession() {
+        Rig rig = new Rig(Rig.safe()).ready(4);
+        for (int i = 0; i < 800; i++) {
+            rig.request(0, i);
+            Send send = rig.last();
+            long stream = i < 400 ? 20_000 : 40 * MS;
+            rig.started(send, 0, 100_000);
+            rig.end(send, 0, Outcome.SERVED, true, 100_000 + stream);
+            assertTrue(rig.all(Refuse.class).isEmpty(), "request " + i);
+        }
+    }
 }
