Say once what class a request has and whether it may be refused

Target.Exchange had two branches that keep a connection and end as not sent, and an override that only said yes. Two cases of FlowsTest shared their steps; their assertions are as they were.

--- a/node/src/main/java/fawnlb/decision/Balancer.java
+++ b/node/src/main/java/fawnlb/decision/Balancer.java
@@ -41,7 +41,16 @@
 
     /** A class of request. {@code aimPerToken} is added to {@code aim} for each token of the prompt. */
     record RequestClass(Effect effect, Group group, long window, long aim, double aimPerToken, long deadline,
-                        long tokenAim, double worth, double lateWorth, boolean stream) { }
+                        long tokenAim, double worth, double lateWorth, boolean stream) {
+        /** What is believed of a class that the settings don't name: it may run once, and has no aim. */
+        private static final RequestClass UNKNOWN = new RequestClass(Effect.UNSAFE, Group.CELL, 0, Long.MAX_VALUE, 0,
+                Long.MAX_VALUE, 0, 1, 0, false);
+
+        /** Whether a request may be refused, after which its client may ask again; given whether an attempt may have run. */
+        public boolean refusable(boolean mayHaveRun) {
+            return !mayHaveRun || effect == Effect.SAFE || effect == Effect.KEYED && group == Group.ALL;
+        }
+    }
 
     /** A tenant: its part of the service, and the requests a second, over all routers, within it. */
     record Tenant(double share, double quota) { }
@@ -76,6 +85,11 @@
                     costs, new Names(List.of(), List.of(), List.of(), List.of()), new Connections(0, 0));
         }
 
+        /** The class with this number, or the most careful one if there is none. */
+        public RequestClass requestClass(int type) {
+            return type >= 0 && type < classes.size() ? classes.get(type) : RequestClass.UNKNOWN;
+        }
+
         /** The same for a host whose list has to be asked for, wherever it comes from. */
         public Settings asked() {
             return new Settings(me, routers, zone, tick, resume, Discovery.ASKED, reports, reportFields, classes, tenants, limits,
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -23,8 +23,6 @@
     private static final long LAST_CALL = 25_000_000;
     private static final long DEFAULT_RETRY_AFTER = 1_000_000_000;
     private static final long NEVER = Long.MAX_VALUE;
-    private static final Balancer.RequestClass UNKNOWN_CLASS = new Balancer.RequestClass(Balancer.Effect.UNSAFE,
-            Balancer.Group.CELL, 0, 0, 0, 0, 0, 0, 0, false);
 
     private final Balancer.Settings settings;
     private final Balancer balancer;
@@ -150,7 +148,7 @@
     private void lastCall(Flow flow) {
         if (!flow.over) {
             LOG.warning("flow " + flow.id + " had no answer at its deadline");
-            boolean harmless = repeatable(flow);
+            boolean harmless = type(flow).refusable(flow.out != null || flow.ranFrom != NEVER);
             finish(flow, () -> {
                 if (harmless) {
                     flow.listener.refused(flow.last, retryAfter(0));
@@ -277,15 +275,7 @@
     }
 
     private Balancer.RequestClass type(Flow flow) {
-        int type = flow.ask.type();
-        return type >= 0 && type < settings.classes().size() ? settings.classes().get(type) : UNKNOWN_CLASS;
-    }
-
-    /** Whether its client may ask again: it does so once it is refused. */
-    private boolean repeatable(Flow flow) {
-        Balancer.RequestClass type = type(flow);
-        return type.effect() == Balancer.Effect.SAFE || flow.out == null && flow.ranFrom == NEVER
-                || type.effect() == Balancer.Effect.KEYED && type.group() == Balancer.Group.ALL;
+        return settings.requestClass(flow.ask.type());
     }
 
     /** A connect takes its time: a repeat that was decided within the window of a keyed class may be sent behind it. */
--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -36,8 +36,6 @@
     private static final double NEVER = 1e15;
     private static final int LIST_TIMER = 0;
     private static final int HELD_TIMER = 1;
-    private static final RequestClass UNKNOWN_CLASS = new RequestClass(Effect.UNSAFE, Group.CELL, 0,
-            Long.MAX_VALUE, 0, Long.MAX_VALUE, 0, 1, 0, false);
 
     private final Settings settings;
     private final Sink sink;
@@ -684,10 +682,7 @@
 
     private void arrived(Request request) {
         warmUp();
-        int index = request.type();
-        RequestClass type = index >= 0 && index < settings.classes().size()
-                ? settings.classes().get(index) : UNKNOWN_CLASS;
-        Task task = new Task(request, type, now);
+        Task task = new Task(request, settings.requestClass(request.type()), now);
         tasks.put(request.id(), task);
         retryCredit = Math.min(retryBurst, retryCredit + RETRY_PART);
         remember(task);
@@ -865,8 +860,7 @@
 
     /** The final answer when there is nothing more to try: a refusal where the rules let it be one. */
     private void giveUp(Task task) {
-        boolean refusable = task.type.effect() == Effect.SAFE || firstThatMayHaveRun(task) == null
-                || task.type.effect() == Effect.KEYED && task.type.group() == Group.ALL;
+        boolean refusable = task.type.refusable(firstThatMayHaveRun(task) != null);
         sink.act(refusable ? new Refuse(task.request.id(), settings.limits().maxRetryAfter())
                 : new Fail(task.request.id()));
         close(task);
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -207,9 +207,7 @@
             if (opened == null) {
                 pool.socketClosed();
                 finish(End.NOT_CONNECTED);
-            } else if (done) {
-                keep(opened);
-            } else if (!mayBeSent()) {
+            } else if (done || !mayBeSent()) {
                 keep(opened);
                 finish(End.NOT_SENT);
             } else {
@@ -268,7 +266,9 @@
         }
 
         /** Asked before its connection is looked for, and when it has come up, which may be long after it was decided on. */
-        abstract boolean mayBeSent();
+        boolean mayBeSent() {
+            return true;
+        }
 
         abstract void whole();
 
@@ -624,11 +624,6 @@
             connection.more();
         }
 
-        @Override
-        boolean mayBeSent() {
-            return true;
-        }
-
         @Override
         void whole() {
             finish(head.status() == 200 ? End.WHOLE : End.TURNED_AWAY);
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -299,31 +299,30 @@
         assertEquals(1, flows.open());
     }
 
-    /** The module's own answer can come behind the last call where the thread is late; its client must not ask again. */
-    @Test
-    public void theLastCallFailsWhatMayHaveRunAndMayNotRunAgain() {
+    /** A flow whose only forward ends so, and of which the module says nothing more. */
+    private void lastCallAfter(End end) {
         take();
         module.act(new Send(1, 7, 0));
-        reports.get(0).ended(Ending.of(End.BROKEN), 0, List.of());
+        reports.get(0).ended(Ending.of(end), 0, List.of());
         hand.pass(116 * MS);
+    }
+
+    /** The module's own answer can come behind the last call where the thread is late; its client must not ask again. */
+    @Test
+    public void theLastCallFailsWhatMayHaveRunAndMayNotRunAgain() {
+        lastCallAfter(End.BROKEN);
         assertEquals(List.of("forward 7", "failed broken-before-head"), seen);
     }
 
     @Test
     public void theLastCallRefusesWhatMayRunAgainOrNeverRan() {
-        take();
-        module.act(new Send(1, 7, 0));
-        reports.get(0).ended(Ending.of(End.TURNED_AWAY), 0, List.of());
-        hand.pass(116 * MS);
+        lastCallAfter(End.TURNED_AWAY);
         assertEquals(List.of("forward 7", "refused turned-away 1000"), seen);
         for (String effect : List.of("safe", "keyed\nprofiles.0.group=all")) {
             seen.clear();
             reports.clear();
             flows = flows("profiles.count=1\nprofiles.0.effect=" + effect);
-            take();
-            module.act(new Send(1, 7, 0));
-            reports.get(0).ended(Ending.of(End.BROKEN), 0, List.of());
-            hand.pass(116 * MS);
+            lastCallAfter(End.BROKEN);
             assertEquals(effect, List.of("forward 7", "refused broken-before-head 1000"), seen);
         }
     }
