Show a client nothing of a stream before its first event is whole

At fault: Target.Running.deliver, which showed the first bytes, whatever they held.

Now the beginning is kept until its first event is whole, and a target's own 400 until its body is; the status of a 400 that broke off no longer stays for the answer of the next target. Both tests fail without it.

--- /dev/null
+++ b/node/src/main/java/fawnlb/dialect/FirstEvent.java
@@ -0,0 +1,41 @@
+package fawnlb.dialect;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/**
+ * Keeps the beginning of a stream until its first event is whole. A target that breaks off within it has answered nothing, and
+ * another may be asked; a client that was shown a part of it would be left with no answer.
+ */
+public final class FirstEvent {
+    private final SseParser events = new SseParser();
+    private ByteArrayOutputStream begun = new ByteArrayOutputStream(0);
+
+    /**
+     * What of these bytes, and of those before, the client may be shown: nothing before the first event is whole, all of it
+     * then, and each piece as it comes from there on. Fails where 256 KiB came without an event.
+     */
+    public ByteBuffer feed(ByteBuffer bytes) throws IOException {
+        if (begun == null) {
+            return bytes;
+        }
+        if (begun.size() + bytes.remaining() > SseParser.LONGEST_EVENT) {
+            throw new IOException("no event in " + SseParser.LONGEST_EVENT + " bytes");
+        }
+        byte[] piece = new byte[bytes.remaining()];
+        bytes.get(piece);
+        begun.writeBytes(piece);
+        if (events.feed(ByteBuffer.wrap(piece)).isEmpty()) {
+            return ByteBuffer.allocate(0);
+        }
+        ByteBuffer all = ByteBuffer.wrap(begun.toByteArray());
+        begun = null;
+        return all;
+    }
+
+    /** Bytes that are kept until the first event is whole. */
+    public int buffered() {
+        return begun == null ? 0 : begun.size();
+    }
+}
--- a/node/src/main/java/fawnlb/dialect/SseParser.java
+++ b/node/src/main/java/fawnlb/dialect/SseParser.java
@@ -9,7 +9,7 @@
 
 /** Reads server-sent events from pieces of any size: CR, LF or CRLF, comments, data over several lines. */
 final class SseParser {
-    private static final int LONGEST_EVENT = 256 * 1024;
+    static final int LONGEST_EVENT = 256 * 1024;
 
     /** An event: its name, empty if it has none, and its data lines joined with line feeds. */
     record Event(String name, String data) { }
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -4,6 +4,7 @@
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
 import fawnlb.dialect.Dialect;
+import fawnlb.dialect.FirstEvent;
 import fawnlb.dialect.Translation;
 import fawnlb.flow.Source;
 import fawnlb.flow.Targets;
@@ -282,6 +283,7 @@
         private Translation translation;
         private Translation witness;
         private final Tail tail = new Tail();
+        private final FirstEvent opening = new FirstEvent();
         private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
         private Response head;
         private boolean streaming;
@@ -399,9 +401,6 @@
                         : new Translation(dialect, parcel.dialect(), parcel.stream());
                 witness = translation != null || objects || !parcel.tally().counts() ? null
                         : new Translation(dialect, dialect, parcel.stream());
-                if (objects) {
-                    parcel.tally().answers(response.status());
-                }
                 arm();
             } else {
                 unarm();
@@ -410,13 +409,14 @@
         }
 
         /**
-         * Told with the first bytes for the client, not with the head: a stream that is spoilt before them has
-         * shown the client nothing, and its flow may still go elsewhere.
+         * Told with the first whole event for the client, not with the head or a part of it: a stream that is spoilt or
+         * broken before that has shown the client nothing, and its flow may still go elsewhere.
          */
         private void show() {
             if (!shown) {
                 shown = true;
                 if (objects) {
+                    parcel.tally().answers(head.status());
                     report.rejected(this);
                 } else {
                     report.started(this);
@@ -446,7 +446,8 @@
             try {
                 tail.add(bytes);
                 observe(bytes.duplicate());
-                deliver(translation != null ? translation.feed(bytes) : parcel.stream() || objects ? bytes : hold(bytes));
+                deliver(translation != null ? translation.feed(bytes)
+                        : parcel.stream() && !objects ? opening.feed(bytes) : hold(bytes));
             } catch (IOException e) {
                 stop(End.UNREADABLE);
             }
@@ -466,7 +467,7 @@
         private void deliver(ByteBuffer bytes) {
             if (!bytes.hasRemaining()) {
                 stream.sign(timers.now());
-                stream.keeps(translation != null ? translation.buffered() : held.size());
+                stream.keeps(translation != null ? translation.buffered() : held.size() + opening.buffered());
                 if (connection != null) {
                     arm();
                     connection.more();
--- a/node/src/test/java/fawnlb/cli/RoughRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/RoughRulesTest.java
@@ -246,7 +246,9 @@
     public void aStreamSpoiltBeforeItsFirstEventIsAFailedForward() throws Exception {
         String[] spoilt = {"\u0001\u0002noise without a line's end", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nX: " + "y".repeat(70_000),
             "HTTP/1.1 200 OK\r\nX: y", head(200, CHUNKED) + "xyz\r\n", head(200, CHUNKED) + "c0000000\r\n" + "x".repeat(50_000),
-            head(200, CHUNKED) + "2\r\nabcd\r\n", head(200, CHUNKED) + "0\r\n\r\n", head(200, CHUNKED, "Content-Length: 3\r\n") + "abc"};
+            head(200, CHUNKED) + "2\r\nabcd\r\n", head(200, CHUNKED) + "2\r\nda\r\nxyz\r\n",
+            head(200, CHUNKED) + chunk(": a comment\n\ndata: half") + "xyz\r\n", head(200, CHUNKED) + "0\r\n\r\n",
+            head(200, CHUNKED, "Content-Length: 3\r\n") + "abc"};
         for (String answer : spoilt) {
             AtomicInteger tries = new AtomicInteger();
             StandIn.Script script = (request, socket) -> {
@@ -263,6 +265,28 @@
         }
     }
 
+    /** A target that breaks off within its first event, or within its word that the request is wrong, has answered nothing. */
+    @Test
+    public void aTargetThatBreaksOffBeforeItsFirstEventIsWholeIsAFailedForward() throws Exception {
+        String[] broken = {head(200, CHUNKED), head(200, CHUNKED) + "5\r\nda", head(200, CHUNKED) + chunk("data: {\"choices\":[]}"),
+            head(200, CHUNKED) + chunk(EVENT.stripTrailing() + "\n"), head(400, "Content-Length: 30\r\n") + "{\"error\":"};
+        for (String answer : broken) {
+            AtomicInteger tries = new AtomicInteger();
+            StandIn.Script script = (request, socket) -> {
+                boolean first = tries.getAndIncrement() == 0;
+                write(socket, first ? answer : STREAM);
+                if (first) {
+                    socket.close();
+                }
+            };
+            try (StandIn one = new StandIn(script); StandIn two = new StandIn(script); Rigged rig = Rigged.with(one, two)) {
+                String got = rig.ask(0, chat("id", 4000));
+                assertTrue(answer + " -> " + got, got.startsWith("HTTP/1.1 200") && got.endsWith("0\r\n\r\n"));
+                assertEquals(2, tries.get());
+            }
+        }
+    }
+
     /** Spoilt later: nothing of the noise reaches the client, and its connection ends without a last chunk. */
     @Test
     public void aStreamSpoiltLaterEndsPromptlyWithoutALastChunk() throws Exception {
