Pause no longer than 2 s before the next call to discovery, however many failed

By reading: after several failed calls the module paused for up to half of rules.ask-within-ns (5 s), and a call that hung when discovery came back is given up after 3 s: 8 s and the next call's time. Where fewer calls had failed the pause still came to 4 s.

At fault: Choice.follow, which bounded the doubled pause by askWithin / 2 alone.

--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -19,12 +19,12 @@
 public final class Discovery implements Roster {
     private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
     private static final long SECOND = 1_000_000_000L;
-    private static final long CONNECT = SECOND;
+    static final long CONNECT = SECOND;
     /** Calls wait their turn at a service that all nodes share. */
-    private static final long ANSWER = 3 * SECOND;
+    static final long ANSWER = 3 * SECOND;
     /** A watch says something every 2 s, if only an empty line. What is not told counts as told 6 s later,
      *  so a watch that has fallen silent must be given up well before. */
-    private static final long SILENCE = 3 * SECOND + SECOND / 2;
+    static final long SILENCE = 3 * SECOND + SECOND / 2;
     private static final long SAY_AGAIN = 10 * SECOND;
     private static final int LONGEST_LINE = 4 << 20;
 
--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -164,8 +164,9 @@
         serveHeld();
     }
 
-    /** What a silent list misses counts as told 6 s after its last word, and it is given up after 3.5 s. */
-    private static final long AFTER_SILENCE = 2 * SECOND;
+    /** What discovery has counts as told 6 s after it could be had, and a list that is silent is given up after 3.5 s of these,
+     *  a call without an answer after 3 s: however many calls have failed, the pause before the next is no longer than this. */
+    private static final long LONGEST_PAUSE = 2 * SECOND;
 
     /** Keeps one subscription alive, and spreads the calls of many routers that lost theirs together. */
     private void follow(ListKind kind) {
@@ -173,8 +174,9 @@
         failedCalls = following ? 0 : failedCalls + (kind == ListKind.FAILED ? 1 : 0);
         if (!following) {
             long spread = Math.min(settings.rules().askWithin() / 5, settings.routers() * (SECOND / 50));
-            spread = failedCalls > 1 ? spread << Math.min(failedCalls, 4) : Math.min(spread, AFTER_SILENCE);
-            askAt(now + Math.min((long) (random.nextDouble() * spread), settings.rules().askWithin() / 2));
+            spread = Math.min(failedCalls > 1 ? spread << Math.min(failedCalls, 4) : spread, LONGEST_PAUSE);
+            long least = failedCalls > 1 ? spread / 2 : 0;
+            askAt(now + least + (long) (random.nextDouble() * (spread - least)));
         }
     }
 
--- /dev/null
+++ b/node/src/test/java/fawnlb/discovery/ToldTest.java
@@ -0,0 +1,102 @@
+package fawnlb.discovery;
+
+import static org.junit.Assert.assertTrue;
+
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.ListKind;
+import fawnlb.decision.Balancer.Listed;
+import fawnlb.decision.Balancer.Subscribe;
+import fawnlb.decision.Balancer.Timer;
+import fawnlb.decision.Balancer.TimerDue;
+import fawnlb.policy.Choice;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.junit.Test;
+
+/**
+ * A change counts as told 6 s after discovery had it and could be reached, whatever was allowed to fail before. Each path on
+ * which a node learns of it late, at its worst: with the pause that the module draws, on one clock.
+ */
+public class ToldTest {
+    private static final long S = 1_000_000_000L;
+    private static final long COUNTS_AS_TOLD = 6 * S;
+    /** What the call takes that is then answered. */
+    private static final long CALL = S / 2;
+
+    /** A path: how long after the change could first be had the node still learns, at the latest, that it has to call again. */
+    private record Path(String name, long knows) { }
+
+    private static final List<Path> PATHS = List.of(
+            new Path("a watch that fell silent with the change", Discovery.SILENCE),
+            new Path("a watch that was reset with the change", 0),
+            new Path("a call that was refused just before", 0),
+            new Path("a call whose connection never came up", Discovery.CONNECT),
+            new Path("a call that was never answered", Discovery.ANSWER));
+
+    /** One module, and the timers that it has set. */
+    private static final class Node {
+        private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingLong(Timer::at));
+        private final List<Long> calls = new ArrayList<>();
+        private final Balancer module;
+        private long now = 100 * S;
+
+        Node(int routers, long askWithin, long seed) {
+            Balancer.RequestClass type = new Balancer.RequestClass(Balancer.Effect.SAFE, Balancer.Group.ALL, 0, S, 0, 4 * S, 0, 1, 0, true);
+            module = new Choice(new Balancer.Settings(0, routers, 0, S / 1000, false, Balancer.Discovery.ASKED, Balancer.Reports.NONE,
+                    List.of(), List.of(type), List.of(), new Balancer.Limits(4, 1000, false, true, false, false, S),
+                    new Balancer.Rules(S, askWithin, 0.3, 9 * S, 2.5, S), new Balancer.Costs(0, 0)), seed, this::act);
+            tell(ListKind.CACHED);
+        }
+
+        private void act(Balancer.Action action) {
+            if (action instanceof Timer timer) {
+                timers.add(timer);
+            } else if (action instanceof Subscribe) {
+                calls.add(now);
+            }
+        }
+
+        void tell(ListKind kind) {
+            module.on(now, new Listed(kind, 1, List.of()));
+        }
+
+        /** When it calls next. */
+        long call() {
+            for (int before = calls.size(); calls.size() == before;) {
+                Timer timer = timers.poll();
+                now = Math.max(now, timer.at());
+                module.on(now, new TimerDue(timer.token()));
+            }
+            return now;
+        }
+    }
+
+    @Test
+    public void whateverFailedBeforeANodeHasTheListBeforeItCountsAsTold() {
+        for (Path path : PATHS) {
+            for (int routers : new int[] {1, 6, 30, 100}) {
+                for (long askWithin : new long[] {4 * S, 10 * S, 60 * S}) {
+                    for (int failures = 0; failures < 7; failures++) {
+                        for (long seed = 0; seed < 40; seed++) {
+                            Node node = new Node(routers, askWithin, seed);
+                            node.call();
+                            node.tell(ListKind.DELTA);
+                            for (int i = 0; i < failures; i++) {
+                                node.tell(ListKind.FAILED);
+                                node.call();
+                            }
+                            long could = node.now;
+                            node.now += path.knows();
+                            node.tell(ListKind.FAILED);
+                            long late = node.call() + CALL - could;
+                            assertTrue(path.name() + ", " + routers + " nodes, " + failures + " failures before: " + late,
+                                    late <= COUNTS_AS_TOLD);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
