Ask whether the client is still there when its request is about to be written

By reading: a close was seen only when the I/O thread came to look at that client's socket. On a busy processor, or in a burst of leavers, a request and its client's close lie in the kernel together; the request was read and sent on in the same turn, tasks and all, before any socket was looked at again. The same for a forward whose connection came up in the turn of the close.

At fault: Target.Running.mayBeSent, which asked the target's state alone. It asks the flow now, and the flow its client, whose connection is read at that moment (ClientExchange.present): before a connection is looked for, and when it has come up. One read for each forward.

The tests fail without it: the target stand-in got what nobody wanted, and a client that had left behind requests sent ahead was taken for present.

--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -101,6 +101,15 @@
         }
     }
 
+    /** On a busy processor a client can have left long before anybody reads that it has. */
+    @Override
+    public boolean present() {
+        if (!done) {
+            readable();
+        }
+        return !done;
+    }
+
     /** Undertow does not read while a request is served. We do, to see the client leave, be it behind bytes of its next request. */
     private void readable() {
         if (done) {
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -252,6 +252,11 @@
         boolean again = type(flow).effect() == Balancer.Effect.SAFE && flow.attempts < settings.limits().attempts();
         out.forward = targets.forward(send.replica(), flow.ask, Math.max(0, stopAt - now), sendBy(flow), again,
                 new Targets.Report() {
+                    @Override
+                    public boolean wanted() {
+                        return !flow.over && flow.listener.present();
+                    }
+
                     @Override
                     public void started(Source source) {
                         mailbox.tell(() -> Flows.this.started(flow, out, source), () -> abandon(flow));
--- a/node/src/main/java/fawnlb/flow/Listener.java
+++ b/node/src/main/java/fawnlb/flow/Listener.java
@@ -2,8 +2,11 @@
 
 import fawnlb.stream.Ending;
 
-/** The client's side of a flow. Exactly one of its methods is called, once, unless the client has left. */
+/** The client's side of a flow. Exactly one of its answers is called, once, unless the client has left. */
 public interface Listener {
+    /** Whether the client is there now, as its connection says at this moment and not when it was last looked at. */
+    boolean present();
+
     /** A target's stream is the answer. */
     void streaming(Source source);
 
--- a/node/src/main/java/fawnlb/flow/Targets.java
+++ b/node/src/main/java/fawnlb/flow/Targets.java
@@ -28,6 +28,9 @@
 
     /** What becomes of a forward. */
     interface Report {
+        /** Asked when the request is about to be written, which may be long after it was decided on: is it still wanted? */
+        boolean wanted();
+
         void started(Source source);
 
         /** Instead of its start: the target finds the request itself wrong, as every target would. */
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -517,7 +517,7 @@
 
         @Override
         boolean mayBeSent() {
-            return !left && !draining && timers.now() < sendBy;
+            return !left && !draining && timers.now() < sendBy && report.wanted();
         }
 
         @Override
--- a/node/src/test/java/fawnlb/client/ClientExchangeTest.java
+++ b/node/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -1,5 +1,6 @@
 package fawnlb.client;
 
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.stream.Ending;
@@ -11,7 +12,11 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.Test;
 
 public class ClientExchangeTest {
@@ -32,6 +37,51 @@
         }
     }
 
+    /**
+     * A burst of leavers on a busy processor: their requests are read and sent on before the I/O thread comes to look at what
+     * they have closed since. Here it never comes to look, and has to be asked.
+     */
+    @Test
+    public void aClientThatHasLeftIsNotPresentThoughNobodyHasReadThatItLeft() throws Exception {
+        for (String ahead : new String[] {"", "GET /next HTTP/1.1\r\nHost: x\r\n\r\n"}) {
+            CountDownLatch asked = new CountDownLatch(1);
+            CountDownLatch left = new CountDownLatch(1);
+            CompletableFuture<String> said = new CompletableFuture<>();
+            AtomicInteger gone = new AtomicInteger();
+            Undertow server = Undertow.builder().setIoThreads(1).addHttpListener(0, "127.0.0.1").setHandler(exchange ->
+                    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                        ClientExchange client = new ClientExchange(exchange, new Mailbox(exchange.getIoThread(), 9), new Words());
+                        client.serve(gone::incrementAndGet);
+                        String before = "present " + client.present();
+                        asked.countDown();
+                        try {
+                            left.await();
+                        } catch (InterruptedException e) {
+                            Thread.currentThread().interrupt();
+                        }
+                        // The close is on its way through the kernel; this thread looks at no socket meanwhile.
+                        long end = System.nanoTime() + 10_000_000_000L;
+                        boolean present = client.present();
+                        while (present && System.nanoTime() < end) {
+                            present = client.present();
+                        }
+                        said.complete(before + ", then " + present + ", told " + gone);
+                    })).build();
+            server.start();
+            InetSocketAddress address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+            try {
+                Socket socket = new Socket(address.getAddress(), address.getPort());
+                socket.getOutputStream().write(("GET / HTTP/1.1\r\nHost: x\r\n\r\n" + ahead).getBytes());
+                asked.await();
+                socket.close();
+                left.countDown();
+                assertEquals("present true, then false, told 1", said.get(20, TimeUnit.SECONDS));
+            } finally {
+                server.stop();
+            }
+        }
+    }
+
     /** An overloaded day filled a node's heap in 50 s: connections kept every exchange that they had carried. */
     @Test
     public void aConnectionKeepsNoExchangeThatIsOver() throws Exception {
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -1,6 +1,7 @@
 package fawnlb.flow;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
@@ -100,6 +101,13 @@
     }
 
     private final class Client implements Listener {
+        boolean there = true;
+
+        @Override
+        public boolean present() {
+            return there;
+        }
+
         @Override
         public void streaming(Source source) {
             seen.add("streaming");
@@ -133,7 +141,11 @@
     }
 
     private Flows.Ticket take() {
-        return flows.take(new Ask(0, 0, 1, 0, 100 * MS, 1, 0, 1, false, null), new Client());
+        return take(new Client());
+    }
+
+    private Flows.Ticket take(Client client) {
+        return flows.take(new Ask(0, 0, 1, 0, 100 * MS, 1, 0, 1, false, null), client);
     }
 
     private Outcome lastOutcome() {
@@ -207,6 +219,20 @@
         assertEquals(0, flows.open());
     }
 
+    /** Asked by the target when the request is about to be written: what was decided on may be of no use to anybody by then. */
+    @Test
+    public void aForwardIsWantedWhileItsClientIsThereAndHasNoAnswer() {
+        Client client = new Client();
+        take(client);
+        module.act(new Send(1, 7, 0));
+        assertTrue(reports.get(0).wanted());
+        client.there = false;
+        assertFalse(reports.get(0).wanted());
+        client.there = true;
+        module.act(new Balancer.Refuse(1, 0));
+        assertFalse(reports.get(0).wanted());
+    }
+
     @Test
     public void aClientThatLeavesIsOwedNothingAndItsForwardIsCalledOff() {
         for (boolean streaming : new boolean[] {false, true}) {
--- a/node/src/test/java/fawnlb/target/TargetPoolTest.java
+++ b/node/src/test/java/fawnlb/target/TargetPoolTest.java
@@ -42,7 +42,14 @@
     private final Streams streams = new Streams(Rules.standard());
     private final TargetPool pool;
     private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+    /** Whether the client is still there; asked and set on the I/O thread. */
+    private boolean wanted = true;
     private final Targets.Report report = new Targets.Report() {
+        @Override
+        public boolean wanted() {
+            return wanted;
+        }
+
         @Override
         public void started(Source source) { }
 
@@ -95,19 +102,21 @@
     }
 
     /** What becomes of a forward whose connection comes up when this has happened; the next one is what the target reads. */
-    private void notSentAfter(long sendBy, Phase... phases) throws Exception {
+    private void notSentAfter(long sendBy, boolean stays, Phase... phases) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
             InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
             // All in one turn of the thread: the connect is on its way, and can't come up before its end.
             thread.execute(() -> {
                 pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
                 forward(1, sendBy, "early");
+                wanted = stays;
                 for (Phase phase : phases) {
                     pool.place(1, address, 0, phase, Dialect.CHAT);
                 }
             });
             assertEquals("not-sent", ends.poll(10, TimeUnit.SECONDS));
             thread.execute(() -> {
+                wanted = true;
                 pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
                 forward(1, Long.MAX_VALUE, "next");
             });
@@ -125,16 +134,21 @@
     /** It was decided before the list came, and its connect takes its time: it is not sent behind the grace. */
     @Test
     public void aForwardThatWaitsForItsConnectionIsNotSentToATargetThatDrains() throws Exception {
-        notSentAfter(Long.MAX_VALUE, Phase.DRAINING);
+        notSentAfter(Long.MAX_VALUE, true, Phase.DRAINING);
     }
 
     @Test
     public void aForwardThatWaitsForItsConnectionIsNotSentToATargetThatIsGone() throws Exception {
-        notSentAfter(Long.MAX_VALUE, Phase.GONE);
+        notSentAfter(Long.MAX_VALUE, true, Phase.GONE);
     }
 
     @Test
     public void aForwardIsNotSentWhenItsTimeToBeSentIsOver() throws Exception {
-        notSentAfter(timers.now());
+        notSentAfter(timers.now(), true);
+    }
+
+    @Test
+    public void aForwardThatWaitsForItsConnectionIsNotSentForAClientThatHasGone() throws Exception {
+        notSentAfter(Long.MAX_VALUE, false);
     }
 }
