--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -164,8 +164,8 @@
         serveHeld();
     }
 
-    /** What discovery has counts as told 6 s after it could be had. A list that is silent is given up after 3.5 s
-     *  of these, a call without an answer after 3 s: the next pause is no longer, however many calls failed. */
+    /** What discovery has counts as told 6 s after it could be had. A silent list is given up after 3.5 s of
+     *  these, a call without an answer after 3 s: no pause is longer than this, however many calls failed. */
     private static final long LONGEST_PAUSE = 2 * SECOND;
 
     /** Keeps one subscription alive, and spreads the calls of many routers that lost theirs together. */
