Take a first event that is on its way when its forward's time is up

Before events were kept, the first byte ended that timer.

At fault: Target.Running.leave, which closed the connection whatever had come. When its time is up, a forward whose first event has begun is taken as it is and its timer ends. Called off by its client or a final answer, it is closed as before.

A test holds the first event half until the client has it.

--- a/node/src/main/java/fawnlb/dialect/FirstEvent.java
+++ b/node/src/main/java/fawnlb/dialect/FirstEvent.java
@@ -29,7 +29,12 @@
         if (events.feed(ByteBuffer.wrap(piece)).isEmpty()) {
             return ByteBuffer.allocate(0);
         }
-        ByteBuffer all = ByteBuffer.wrap(begun.toByteArray());
+        return release();
+    }
+
+    /** What is kept, after which each piece may be shown as it comes: whoever can wait no longer takes the stream as it is. */
+    public ByteBuffer release() {
+        ByteBuffer all = ByteBuffer.wrap(begun == null ? new byte[0] : begun.toByteArray());
         begun = null;
         return all;
     }
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -340,8 +340,12 @@
             }
         }
 
-        /** Nobody wants the answer any more. */
+        /** Nobody wants the answer any more, or can wait for it: one that is on its way is taken rather than cut. */
         void leave(End end) {
+            if (!done && end == End.OUT_OF_TIME && opening.buffered() > 0) {
+                deliver(opening.release());
+                return;
+            }
             stop(end);
             close();
         }
--- a/node/src/test/java/fawnlb/cli/RoughRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/RoughRulesTest.java
@@ -287,6 +287,29 @@
         }
     }
 
+    /** The forward's time is up while its first event comes in pieces: its stream is sound, and cutting it would lose the request. */
+    @Test
+    public void aFirstEventThatIsOnItsWayWhenItsTimeIsUpIsTakenAndNotCut() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        try (StandIn target = new StandIn((request, socket) -> {
+            write(socket, head(200, CHUNKED) + "8\r\ndata: ha\r\n");
+            seen.await(10, TimeUnit.SECONDS);
+            write(socket, chunk("lf\n\n") + chunk(DONE) + "0\r\n\r\n");
+        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+            write(client, chat("id", 600));
+            StringBuilder got = new StringBuilder();
+            while (!got.toString().endsWith("data: ha")) {
+                int b = client.getInputStream().read();
+                assertTrue(got.toString(), b >= 0);
+                got.append((char) b);
+            }
+            seen.countDown();
+            String answer = rest(client);
+            assertTrue(got + answer, got.toString().startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n"));
+            assertEquals(1, target.requests.size());
+        }
+    }
+
     /** Spoilt later: nothing of the noise reaches the client, and its connection ends without a last chunk. */
     @Test
     public void aStreamSpoiltLaterEndsPromptlyWithoutALastChunk() throws Exception {
--- a/node/src/test/java/fawnlb/dialect/FirstEventTest.java
+++ b/node/src/test/java/fawnlb/dialect/FirstEventTest.java
@@ -36,6 +36,17 @@
         }
     }
 
+    @Test
+    public void whatIsKeptCanBeTakenBeforeTheEventIsWhole() throws IOException {
+        FirstEvent opening = new FirstEvent();
+        assertEquals("", text(opening.release()));
+        opening = new FirstEvent();
+        opening.feed(bytes("data: ha"));
+        assertEquals("data: ha", text(opening.release()));
+        assertEquals(0, opening.buffered());
+        assertEquals("lf", text(opening.feed(bytes("lf"))));
+    }
+
     @Test
     public void commentsWithoutEndAreAnError() throws IOException {
         FirstEvent opening = new FirstEvent();
