Wait no longer for a first event that has begun: only its silence ends it

Before events were kept, the first byte had ended that wait. Now it ends when anything of the event is kept; silence ends it as it does any stream.

StreamsTest: pieces every 50 ms past the time at which an unheard forward is given up; [STALLED] without the change.

--- a/node/src/main/java/fawnlb/stream/Stream.java
+++ b/node/src/main/java/fawnlb/stream/Stream.java
@@ -250,7 +250,8 @@
         }
         // What follows a head is due soon, whatever is usual; what precedes it has the time that the module gave it.
         long latest = place == Place.BEFORE_EVENT ? heardAt + rules.mostSilence() : NEVER;
-        return rules.learned() && events && again ? Math.min(latest, firstCutAt()) : latest;
+        // A first event that has begun is no longer waited for: its stream is sound while its pieces come.
+        return rules.learned() && events && again && held == 0 ? Math.min(latest, firstCutAt()) : latest;
     }
 
     /** What remains must do for another attempt, or the wait goes on. */
--- a/node/src/test/java/fawnlb/stream/StreamsTest.java
+++ b/node/src/test/java/fawnlb/stream/StreamsTest.java
@@ -200,6 +200,32 @@
         assertEquals(1, ended.size());
     }
 
+    /** The time for a first event was over in the middle of its pieces, and a sound stream was cut. */
+    @Test
+    public void aFirstEventThatHasBegunIsNotGivenUpWhileItsPiecesCome() {
+        for (int target = 0; target < 5; target++) {
+            teach(streams, target, 60, 300, new Random(target));
+        }
+        long sent = now;
+        Stream waits = open(streams, 1, true);
+        long givenUp = waits.wakeAt();
+        wakeUntil(waits, sent + 8 * S);
+        assertEquals(List.of(End.STALLED), ended);
+        ended.clear();
+        Stream begun = open(streams, 1, true);
+        long at = sent + 200 * MS;
+        begun.head(at, true);
+        for (; at < 2 * givenUp - sent; at += 50 * MS) {
+            begun.sign(at);
+            begun.keeps(5);
+            wakeUntil(begun, at + 50 * MS);
+        }
+        assertEquals(List.of(), ended);
+        // Its silence ends it all the same.
+        assertTrue(wakeUntil(begun, at + 8 * S) >= at + 8 * S);
+        assertEquals(List.of(End.STALLED), ended);
+    }
+
     /** Waits that were given up count as at least as long, or what is allowed would shrink with every one of them. */
     /** A node of a large fleet meets most lengths of prompt for the first time; nothing is known of them. */
     @Test
