Ask for no next piece while a first event that was taken in time is on its way

Found on reading again: when a forward's time is up, the half first event is handed on although the next piece has been asked for already. A reader that takes nothing could have it overwritten by that piece.

--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -132,6 +132,13 @@
         }
     }
 
+    /** Takes {@link #more} back: a piece is on its way to its reader after all. */
+    public void pause() {
+        if (!closed) {
+            channel.getSourceChannel().suspendReads();
+        }
+    }
+
     private void writable() {
         try {
             while (request != null && request[request.length - 1].hasRemaining()) {
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -343,6 +343,8 @@
         /** Nobody wants the answer any more, or can wait for it: one that is on its way is taken rather than cut. */
         void leave(End end) {
             if (!done && end == End.OUT_OF_TIME && opening.buffered() > 0) {
+                // The next piece was asked for already, and must not come before this one is taken.
+                connection.pause();
                 deliver(opening.release());
                 return;
             }
