Tell a target the time that is left when its request is written

The head of a request was made when the attempt was decided, and kept while its connection came up: X-Deadline-Ms could be over what the client had left by the time of the connect (up to the connect timeout, and longer where the I/O thread was busy). Lines at fault: Target.Running's constructor, which called Parcel.request at once. The head is made by Exchange.request() now, right before Connection.send, from an absolute time; and nothing is sent once that time has come.

Both tests keep the I/O thread busy between decision and connect; they were seen to fail with the head made early (told 999 of 800 ms; sent where nothing may be sent).

--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -250,7 +250,7 @@
             }
         }));
         boolean again = type(flow).effect() == Balancer.Effect.SAFE && flow.attempts < settings.limits().attempts();
-        out.forward = targets.forward(send.replica(), flow.ask, Math.max(0, stopAt - now), sendBy(flow), again,
+        out.forward = targets.forward(send.replica(), flow.ask, stopAt, sendBy(flow), again,
                 new Targets.Report() {
                     @Override
                     public boolean wanted() {
--- a/node/src/main/java/fawnlb/flow/Targets.java
+++ b/node/src/main/java/fawnlb/flow/Targets.java
@@ -11,11 +11,11 @@
      * Starts a forward. The report hears of it once or twice: perhaps its start, and always its end. A target that drains or
      * has left by the time at which its connection is up is sent nothing.
      *
-     * @param patience how long the node waits for its answer to begin, in nanoseconds
+     * @param until when the node no longer waits for its answer to begin, in nanoseconds on the host's clock
      * @param sendBy the request is not sent at this time or later, in nanoseconds on the host's clock
      * @param again whether another could follow it, so that there is something to gain by not waiting for it to the end
      */
-    Forward forward(long target, Ask ask, long patience, long sendBy, boolean again, Report report);
+    Forward forward(long target, Ask ask, long until, long sendBy, boolean again, Report report);
 
     /** Tests a target. */
     void probe(long target, ProbeReport report);
--- a/node/src/main/java/fawnlb/target/Parcel.java
+++ b/node/src/main/java/fawnlb/target/Parcel.java
@@ -73,7 +73,12 @@
         return dialect == other || translated != null;
     }
 
-    /** Head and body; the body is not copied, since it stays for another attempt anyhow. */
+    /**
+     * Head and body; the body is not copied, since it stays for another attempt anyhow.
+     *
+     * @param patience how long the client can wait from now on, in nanoseconds; to be asked for when the bytes are written, so
+     *     that a target is never told of more than is left
+     */
     ByteBuffer[] request(Dialect to, String host, long patience) {
         byte[] content = to == dialect ? body : translated;
         byte[] head = ("POST " + (to == dialect ? path : to.path()) + " HTTP/1.1\r\nHost: " + host
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -103,11 +103,11 @@
     }
 
     /** Prompt tokens and again: as {@link Streams#open} has them; the rest as {@link Targets#forward}. */
-    Targets.Forward forward(Parcel parcel, double promptTokens, long patience, long sendBy, boolean again,
+    Targets.Forward forward(Parcel parcel, double promptTokens, long until, long sendBy, boolean again,
             Targets.Report report) {
-        Running running = new Running(parcel, patience, sendBy, report);
+        Running running = new Running(parcel, until, sendBy, report);
         boolean told = mailbox.tell(() -> {
-            running.open(promptTokens, patience, again);
+            running.open(promptTokens, again);
             running.begin();
         }, running::fail);
         if (!told) {
@@ -117,9 +117,7 @@
     }
 
     void probe(Targets.ProbeReport report) {
-        ByteBuffer request = ByteBuffer.wrap(("GET /stats HTTP/1.1\r\nHost: " + host() + "\r\n\r\n")
-                .getBytes(StandardCharsets.ISO_8859_1));
-        Probe probe = new Probe(request, report);
+        Probe probe = new Probe(report);
         if (!mailbox.tell(probe::begin)) {
             report.probed(Outcome.NEVER_SENT, List.of());
         }
@@ -176,14 +174,9 @@
 
     /** One exchange with the target, from finding a connection to its end. */
     private abstract class Exchange implements Connection.Call {
-        private ByteBuffer[] request;
         Connection connection;
         boolean done;
 
-        Exchange(ByteBuffer... request) {
-            this.request = request;
-        }
-
         void begin() {
             if (done) {
                 return;
@@ -218,12 +211,12 @@
         }
 
         private void send() {
-            ByteBuffer[] bytes = request;
-            // A stream may run for long; its request need not stay in memory.
-            request = null;
-            connection.send(this, bytes);
+            connection.send(this, request());
         }
 
+        /** Made when it is written: what it tells of the time that is left must hold then. */
+        abstract ByteBuffer[] request();
+
         @Override
         public void end(boolean reusable) {
             Connection used = connection;
@@ -279,6 +272,7 @@
     private final class Running extends Exchange implements Source, Streams.Owner {
         private final Targets.Report report;
         private final Parcel parcel;
+        private final long until;
         private final long sendBy;
         private Translation translation;
         private Translation witness;
@@ -298,18 +292,23 @@
         private State timedFor;
         private Timers.Timer discard;
 
-        Running(Parcel parcel, long patience, long sendBy, Targets.Report report) {
-            super(parcel.request(dialect, host(), patience));
+        Running(Parcel parcel, long until, long sendBy, Targets.Report report) {
             this.parcel = parcel;
+            this.until = until;
             this.sendBy = sendBy;
             this.report = report;
         }
 
-        void open(double promptTokens, long patience, boolean again) {
-            stream = streams.open(timers.now(), id, promptTokens, timers.now() + patience, again, parcel.stream(), this);
+        void open(double promptTokens, boolean again) {
+            stream = streams.open(timers.now(), id, promptTokens, until, again, parcel.stream(), this);
             arm();
         }
 
+        @Override
+        ByteBuffer[] request() {
+            return parcel.request(dialect, host(), Math.max(0, until - timers.now()));
+        }
+
         private void tell(Runnable message) {
             mailbox.tell(message, this::fail);
         }
@@ -523,7 +522,7 @@
 
         @Override
         boolean mayBeSent() {
-            return !left && !draining && timers.now() < sendBy && report.wanted();
+            return !left && !draining && timers.now() < Math.min(sendBy, until) && report.wanted();
         }
 
         @Override
@@ -611,12 +610,17 @@
         private List<Double> load = List.of();
         private Response head;
 
-        Probe(ByteBuffer request, Targets.ProbeReport report) {
-            super(request);
+        Probe(Targets.ProbeReport report) {
             this.report = report;
             timers.after(limits.probe(), () -> mailbox.tell(() -> stop(End.OUT_OF_TIME)));
         }
 
+        @Override
+        ByteBuffer[] request() {
+            return new ByteBuffer[] {ByteBuffer.wrap(("GET /stats HTTP/1.1\r\nHost: " + host() + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1))};
+        }
+
         @Override
         public void head(Response response) {
             head = response;
--- a/node/src/main/java/fawnlb/target/TargetPool.java
+++ b/node/src/main/java/fawnlb/target/TargetPool.java
@@ -71,13 +71,13 @@
     }
 
     @Override
-    public Forward forward(long id, Ask ask, long patience, long sendBy, boolean again, Report report) {
+    public Forward forward(long id, Ask ask, long until, long sendBy, boolean again, Report report) {
         Target target = targets.get(id);
         if (target == null || !((Parcel) ask.parcel()).speaks(target.dialect())) {
             report.ended(Ending.of(End.NOT_SENT), 0, List.of());
             return end -> { };
         }
-        return target.forward((Parcel) ask.parcel(), ask.promptTokens(), patience, sendBy, again, report);
+        return target.forward((Parcel) ask.parcel(), ask.promptTokens(), until, sendBy, again, report);
     }
 
     /** Where a target listens, {@code -} if it is not listed. */
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -75,7 +75,7 @@
 
     private final class ByHand implements Targets {
         @Override
-        public Forward forward(long target, Ask ask, long patience, long sendBy, boolean again, Report report) {
+        public Forward forward(long target, Ask ask, long until, long sendBy, boolean again, Report report) {
             reports.add(report);
             sendBys.add(sendBy);
             int number = reports.size();
--- a/node/src/test/java/fawnlb/target/TargetPoolTest.java
+++ b/node/src/test/java/fawnlb/target/TargetPoolTest.java
@@ -78,8 +78,12 @@
     }
 
     private void forward(int id, long sendBy, String named) {
+        forward(id, timers.now() + SECOND, sendBy, named);
+    }
+
+    private void forward(int id, long until, long sendBy, String named) {
         pool.forward(id, new Ask(0, 0, 1, 0, SECOND, 1, 0, 1, false, new Parcel(Dialect.CHAT, "/", named, null, true,
-                new byte[2], null, new Parcel.Tally(false))), SECOND, sendBy, true, report);
+                new byte[2], null, new Parcel.Tally(false))), until, sendBy, true, report);
     }
 
     /** Long days replace targets all the time: one that left with a forward on its way was kept for good. */
@@ -151,4 +155,46 @@
     public void aForwardThatWaitsForItsConnectionIsNotSentForAClientThatHasGone() throws Exception {
         notSentAfter(Long.MAX_VALUE, false);
     }
+
+    /** The I/O thread is kept busy between the decision and the moment at which the connection can be written to. */
+    private void busyFor(long nanos) {
+        long until = timers.now() + nanos;
+        while (timers.now() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    public void deadlineToldToServerIsWhatIsLeftWhenRequestIsWritten() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+            thread.execute(() -> {
+                pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
+                forward(1, timers.now() + SECOND, Long.MAX_VALUE, "late");
+                busyFor(SECOND / 5);
+            });
+            try (Socket socket = server.accept()) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+                String line = in.readLine();
+                while (!line.startsWith("X-Deadline-Ms: ")) {
+                    line = in.readLine();
+                }
+                long told = Long.parseLong(line.substring("X-Deadline-Ms: ".length()));
+                assertTrue("told " + told + " ms", told <= 800);
+            }
+        }
+    }
+
+    @Test
+    public void requestWhoseDeadlineHasPassedWhenItsConnectionIsUpIsNotSent() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+            thread.execute(() -> {
+                pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
+                forward(1, timers.now() + SECOND / 10, Long.MAX_VALUE, "late");
+                busyFor(SECOND / 5);
+            });
+            assertEquals("not-sent", ends.poll(10, TimeUnit.SECONDS));
+        }
+    }
 }
