Close no connection as idle on which a request's head has begun to come

Lines at fault: Connections.since, which knew 'serving' and 'idle' alone, and Undertow's reader, which does not say that a head has begun.

A conduit below Undertow's reader tells of the first byte now. One whose last answer is out counts as closing and goes first.

Three tests write half a head while the I/O thread waits; two assertions and one read fail without the change.

--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -4,6 +4,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,25 +14,38 @@
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * The client connections of a node from their accept on, and whether each is serving a request. Beyond a limit
- * those go that have been idle for longest: a client that connects by hundreds and stays silent must not keep
- * out those who ask. At a planned end an idle one must be closed before the process ends: a request written to
- * it a moment later would be lost with the process, while one that meets a closed connection is sent again
- * elsewhere.
+ * The client connections of a node from their accept on, and what each is doing. Beyond a limit those are closed that have
+ * been idle for longest: a client that connects by hundreds and stays silent must not keep out those who ask. At a planned
+ * end an idle one must be closed before the process ends: a request written to it a moment later would be lost with the
+ * process, while one that meets a closed connection is sent again elsewhere.
+ *
+ * <p>A connection on which a part of a request's head has come is not idle. It is closed to make room where no idle one is
+ * left; apart from that the time limit for heads ends it, which begins with their first byte.
  */
 public final class Connections {
     /** Connections over the limit, kept only to be told so. */
     private static final int SPARE = 12;
 
-    private static final long SERVING = Long.MAX_VALUE;
     private static final long LEAST_PAUSE = 20_000_000;
 
-    /** Since when each has been idle, or {@link #SERVING}; those idle for longest come first. */
-    private final Map<StreamConnection, Long> open = new LinkedHashMap<>();
+    /** CLOSING: its last answer is out; what its client still sends is read and dropped. */
+    private enum Phase { IDLE, READING_HEAD, SERVING, CLOSING }
+
+    /** What a connection has been doing, and since when, in nanoseconds. */
+    private record Activity(Phase phase, long since) {
+        boolean is(Phase other) {
+            return phase == other;
+        }
+    }
+
+    /** Those that have been idle, or reading a head, for longest come first. */
+    private final Map<StreamConnection, Activity> open = new LinkedHashMap<>();
     private final int most;
     private final long patience;
     private final Timers timers;
@@ -51,12 +66,12 @@
      */
     private void retire() {
         long now = timers.now();
-        StreamConnection eldest = eldestIdle();
-        while (eldest != null && now - since(eldest) >= patience) {
+        StreamConnection eldest = eldest(Phase.IDLE);
+        while (eldest != null && now - activity(eldest).since() >= patience) {
             closeUnlessAsked(eldest);
-            eldest = eldestIdle();
+            eldest = eldest(Phase.IDLE);
         }
-        long left = eldest == null ? patience : since(eldest) + patience - now;
+        long left = eldest == null ? patience : activity(eldest).since() + patience - now;
         timers.after(Math.max(LEAST_PAUSE, left), this::retire);
     }
 
@@ -70,13 +85,13 @@
 
     /** Takes a new connection and hands it to whoever reads it. */
     public void accept(StreamConnection connection, ChannelListener<? super StreamConnection> reader) {
-        if (size() >= most && !closeOneIdle() && size() >= most + SPARE) {
+        if (size() >= most && !closeOneWithoutRequest() && size() >= most + SPARE) {
             IoUtils.safeClose(connection);
             return;
         }
-        synchronized (this) {
-            open.put(connection, timers.now());
-        }
+        enter(connection, Phase.IDLE);
+        ConduitStreamSourceChannel source = connection.getSourceChannel();
+        source.setConduit(new HeadWatch(source.getConduit(), () -> headBegins(connection)));
         reader.handleEvent(connection);
         ChannelListener<? super StreamConnection> readers = connection.getCloseListener();
         connection.setCloseListener(c -> {
@@ -88,6 +103,38 @@
         }
     }
 
+    /** Tells when bytes are read, whoever reads them: Undertow does not say that a head has begun. */
+    private static final class HeadWatch extends AbstractStreamSourceConduit<StreamSourceConduit> {
+        private final Runnable bytesRead;
+
+        HeadWatch(StreamSourceConduit next, Runnable bytesRead) {
+            super(next);
+            this.bytesRead = bytesRead;
+        }
+
+        @Override
+        public int read(ByteBuffer into) throws IOException {
+            int count = super.read(into);
+            if (count > 0) {
+                bytesRead.run();
+            }
+            return count;
+        }
+    }
+
+    private synchronized void headBegins(StreamConnection connection) {
+        Activity before = open.get(connection);
+        if (before != null && before.is(Phase.IDLE)) {
+            enter(connection, Phase.READING_HEAD);
+        }
+    }
+
+    /** Puts the connection behind all that entered their phase before. */
+    private synchronized void enter(StreamConnection connection, Phase phase) {
+        open.remove(connection);
+        open.put(connection, new Activity(phase, timers.now()));
+    }
+
     private synchronized void closed(StreamConnection connection) {
         open.remove(connection);
     }
@@ -99,9 +146,9 @@
     public boolean serving(HttpServerExchange exchange) {
         StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
         synchronized (this) {
-            open.replace(connection, SERVING);
+            open.replace(connection, new Activity(Phase.SERVING, timers.now()));
         }
-        boolean room = size() <= most || closeOneIdle();
+        boolean room = size() <= most || closeOneWithoutRequest();
         if (!room) {
             exchange.setPersistent(false);
         }
@@ -109,8 +156,11 @@
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         }
         exchange.addExchangeCompleteListener((done, next) -> {
-            if (((HttpServerConnection) done.getConnection()).getExtraBytes() == null) {
-                idle(connection);
+            if (!done.isPersistent()) {
+                enterIfOpen(connection, Phase.CLOSING);
+                next.proceed();
+            } else if (((HttpServerConnection) done.getConnection()).getExtraBytes() == null) {
+                enterIfOpen(connection, Phase.IDLE);
                 next.proceed();
             } else {
                 // The next request came early.
@@ -135,59 +185,66 @@
         sink.resumeWrites();
     }
 
-    private synchronized void idle(StreamConnection connection) {
-        if (open.remove(connection) != null) {
-            open.put(connection, timers.now());
+    private synchronized void enterIfOpen(StreamConnection connection, Phase phase) {
+        if (open.containsKey(connection)) {
+            enter(connection, phase);
         }
     }
 
-    /** False if there is none, or if this is just being done: a request that was found by it needs no second look. */
-    private boolean closeOneIdle() {
+    /**
+     * Closes one on which no request has come, idle ones first. False if there is none, or if this is just being done: a
+     * request that was found by it needs no second look.
+     */
+    private boolean closeOneWithoutRequest() {
         if (looking) {
             return false;
         }
         looking = true;
         try {
-            // Each look closes the eldest, or finds that another is the eldest now.
-            for (int looks = size(); looks > 0; looks--) {
-                StreamConnection eldest = eldestIdle();
-                if (eldest == null || closeUnlessAsked(eldest)) {
-                    return eldest != null;
-                }
-            }
-            return false;
+            return closeEldest(Phase.CLOSING) || closeEldest(Phase.IDLE) || closeEldest(Phase.READING_HEAD);
         } finally {
             looking = false;
         }
     }
 
-    /** The one that has been idle for longest, null if none is. */
-    private synchronized StreamConnection eldestIdle() {
-        for (Map.Entry<StreamConnection, Long> entry : open.entrySet()) {
-            if (entry.getValue() != SERVING) {
+    private boolean closeEldest(Phase phase) {
+        // Each look closes the eldest, or finds that another is the eldest now.
+        for (int looks = size(); looks > 0; looks--) {
+            StreamConnection eldest = eldest(phase);
+            if (eldest == null || closeUnlessAsked(eldest)) {
+                return eldest != null;
+            }
+        }
+        return false;
+    }
+
+    /** The one that has been in the phase for longest, null if none is in it. */
+    private synchronized StreamConnection eldest(Phase phase) {
+        for (Map.Entry<StreamConnection, Activity> entry : open.entrySet()) {
+            if (entry.getValue().is(phase)) {
                 return entry.getKey();
             }
         }
         return null;
     }
 
-    /** Since when it has been idle, {@link #SERVING} if it is not; also if it is closed. */
-    private synchronized long since(StreamConnection connection) {
-        return open.getOrDefault(connection, SERVING);
+    /** Null if it is closed. */
+    private synchronized Activity activity(StreamConnection connection) {
+        return open.get(connection);
     }
 
     /**
-     * Closes an idle connection, unless its request has come and was not read yet: on a busy processor one can lie there for
-     * half a second, and the client that wrote it is owed an answer. False if it has.
+     * Closes a connection without a request, unless more of one has come and was not read yet: on a busy processor it can lie
+     * there for half a second, and the client that wrote it is owed an answer. False if it has.
      */
     private boolean closeUnlessAsked(StreamConnection connection) {
-        long before = since(connection);
-        if (before == SERVING) {
+        Activity before = activity(connection);
+        if (before == null || before.is(Phase.SERVING)) {
             return false;
         }
         ConduitStreamSourceChannel source = connection.getSourceChannel();
         ChannelListeners.invokeChannelListener(source, source.getReadListener());
-        if (connection.isOpen() && since(connection) != before) {
+        if (connection.isOpen() && activity(connection) != before) {
             return false;
         }
         closed(connection);
@@ -195,18 +252,25 @@
         return true;
     }
 
+    private void closeIfDone(StreamConnection connection) {
+        Activity now = activity(connection);
+        if (now != null && (now.is(Phase.IDLE) || now.is(Phase.CLOSING))) {
+            closeUnlessAsked(connection);
+        }
+    }
+
     /** From here on each connection closes with its answer. */
     public void drain() {
         draining = true;
     }
 
-    /** Closes the idle ones; how many are still serving. To be called on the thread that reads them. */
+    /** Closes those that are idle or closing; how many are left, reading a head or serving. To be called on the thread that reads them. */
     public int closeIdle() {
         List<StreamConnection> all;
         synchronized (this) {
             all = new ArrayList<>(open.keySet());
         }
-        all.forEach(this::closeUnlessAsked);
+        all.forEach(this::closeIfDone);
         return size();
     }
 
--- a/node/src/test/java/fawnlb/client/ConnectionsTest.java
+++ b/node/src/test/java/fawnlb/client/ConnectionsTest.java
@@ -84,7 +84,11 @@
     }
 
     private static void ask(Socket socket) throws IOException {
-        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+        write(socket, REQUEST);
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     private static void assertServed(Socket socket) throws IOException {
@@ -108,6 +112,12 @@
         onIoThread(() -> connections.accept(first, reader));
         ask(kept);
         assertServed(kept);
+        whileWritten(kept, REQUEST, next);
+        assertServed(kept);
+    }
+
+    /** The text is written while the I/O thread waits, which then does this. */
+    private void whileWritten(Socket kept, String text, Runnable next) throws Exception {
         CountDownLatch waits = new CountDownLatch(1);
         CountDownLatch written = new CountDownLatch(1);
         FutureTask<?> busy = new FutureTask<>(() -> {
@@ -118,10 +128,9 @@
         });
         worker.getIoThread().execute(busy);
         assertTrue(waits.await(10, TimeUnit.SECONDS));
-        ask(kept);
+        write(kept, text);
         written.countDown();
         busy.get(10, TimeUnit.SECONDS);
-        assertServed(kept);
     }
 
     @Test
@@ -195,4 +204,49 @@
             assertTrue("served after " + served.indexOf("/") + " of " + ahead, served.indexOf("/") <= 2);
         }
     }
+
+    /** Half a request comes, then the task runs on the I/O thread, then the rest: the request is served all the same. */
+    private void servesRequestWhoseHeadHasBegun(Runnable task) throws Exception {
+        int half = REQUEST.length() / 2;
+        try (Socket kept = connect()) {
+            StreamConnection accepting = accepted.poll(10, TimeUnit.SECONDS);
+            onIoThread(() -> connections.accept(accepting, reader));
+            ask(kept);
+            assertServed(kept);
+            whileWritten(kept, REQUEST.substring(0, half), task);
+            write(kept, REQUEST.substring(half));
+            assertServed(kept);
+        }
+    }
+
+    @Test
+    public void plannedEndWaitsForRequestWhoseHeadHasBegun() throws Exception {
+        servesRequestWhoseHeadHasBegun(() -> assertEquals("one reads a head", 1, connections.closeIdle()));
+    }
+
+    @Test
+    public void idleLimitDoesNotCloseConnectionOnWhichHeadHasBegun() throws Exception {
+        servesRequestWhoseHeadHasBegun(() -> {
+            now += PATIENCE;
+            retire.run();
+            now += PATIENCE;
+            retire.run();
+        });
+    }
+
+    @Test
+    public void idleConnectionMakesRoomBeforeOneOnWhichHeadHasBegun() throws Exception {
+        connections = new Connections(2, PATIENCE, new ByHand());
+        try (Socket idle = connect(); Socket late = connect()) {
+            StreamConnection first = accepted.poll(10, TimeUnit.SECONDS);
+            StreamConnection second = accepted.poll(10, TimeUnit.SECONDS);
+            servesRequestWhoseHeadHasBegun(() -> {
+                connections.accept(first, reader);
+                connections.accept(second, reader);
+            });
+            assertEquals("idle, and closed", -1, idle.getInputStream().read());
+            ask(late);
+            assertServed(late);
+        }
+    }
 }
