Read the rest of a request that was rejected before its connection closes

An answer that is given while a part of the request is still to come (413, 408, 400, 503 without room for the body) closes the connection. Undertow does that by ending its sending and reading one byte: where that byte comes, it closes at once, over all that follows it. A close over unread bytes resets the connection, and an answer that the client has not read yet goes with it.

LingeringClose reads and drops the rest until the client closes, for 2 s at most, as long as a body may take. To make room, idle connections go before those that linger, since their clients are owed nothing.

The test writes two pieces of the rest; without the change the connection is closed at the first.

--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -280,6 +280,7 @@
         if (!exchange.isRequestComplete()) {
             // Undertow would first read all of a body that nobody wants, be it 60 MB.
             exchange.setPersistent(false);
+            LingeringClose.requestIsIncomplete(exchange);
             Connectors.terminateRequest(exchange);
         }
         exchange.setStatusCode(reply.status());
--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -158,7 +158,11 @@
         exchange.addExchangeCompleteListener((done, next) -> {
             if (!done.isPersistent()) {
                 enterIfOpen(connection, Phase.CLOSING);
-                next.proceed();
+                if (LingeringClose.isNeededBy(done)) {
+                    LingeringClose.begin(done, timers);
+                } else {
+                    next.proceed();
+                }
             } else if (((HttpServerConnection) done.getConnection()).getExtraBytes() == null) {
                 enterIfOpen(connection, Phase.IDLE);
                 next.proceed();
@@ -201,7 +205,7 @@
         }
         looking = true;
         try {
-            return closeEldest(Phase.CLOSING) || closeEldest(Phase.IDLE) || closeEldest(Phase.READING_HEAD);
+            return closeEldest(Phase.IDLE) || closeEldest(Phase.CLOSING) || closeEldest(Phase.READING_HEAD);
         } finally {
             looking = false;
         }
--- a/node/src/test/java/fawnlb/client/ConnectionsTest.java
+++ b/node/src/test/java/fawnlb/client/ConnectionsTest.java
@@ -6,7 +6,9 @@
 import fawnlb.actor.Timers;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -249,4 +251,24 @@
             assertServed(late);
         }
     }
+
+    /** Undertow would close over the unread rest of the body, which resets the connection and takes the answer with it. */
+    @Test
+    public void connectionStaysOpenForRestOfRequestThatWasRejected() throws Exception {
+        reader.setRootHandler(exchange -> {
+            connections.serving(exchange);
+            ClientExchange.write(exchange, new Replies.Reply(413, "text/plain", "too large\n"), 0);
+        });
+        try (Socket client = connect()) {
+            StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
+            onIoThread(() -> connections.accept(connection, reader));
+            write(client, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\nbegun");
+            assertTrue(new BufferedReader(new InputStreamReader(client.getInputStream())).lines().anyMatch("too large"::equals));
+            for (int piece = 0; piece < 2; piece++) {
+                whileWritten(client, "more", () -> ChannelListeners.invokeChannelListener(connection.getSourceChannel(),
+                        connection.getSourceChannel().getReadListener()));
+                onIoThread(() -> assertTrue("open until the client closes", connection.isOpen()));
+            }
+        }
+    }
 }
