Open a silent watch anew within 3.3 s, and pause 1.1 s at most between calls

Known hole: a watch that falls silent and whose next call fails came later than 6 s (3.5 s until it was given up, up to 2 s of pause, the call, up to 2 s again). Lines at fault: Discovery.SILENCE and Choice.LONGEST_PAUSE, whose sum nobody held.

A heartbeat that is 0.15 s late counts as a call that failed, while its watch stays open until the next call is made and may speak again. Pauses end at 1.1 s and begin at 1 s for a fleet of 100, so that each node calls once a second at most. ToldTest holds the sums of two and three failures; with the constants as they were it fails for 'silent, refused' (6 nodes after six failures: 7602 ms).

--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -22,9 +22,14 @@
     static final long CONNECT = SECOND;
     /** Calls wait their turn at a service that all nodes share. */
     static final long ANSWER = 3 * SECOND;
-    /** A watch says something every 2 s, if only an empty line. What is not told counts as told 6 s later,
-     *  so a watch that has fallen silent must be given up well before. */
-    static final long SILENCE = 3 * SECOND + SECOND / 2;
+    /** A watch says something as often as this, if only an empty line. */
+    private static final long HEARTBEAT = 2 * SECOND;
+    /** How late a heartbeat may be: it was never seen to be later than 50 ms. */
+    private static final long HEARTBEAT_SLACK = SECOND / 10;
+    /** What came while the I/O thread was busy is read before its timers are believed. */
+    private static final long SECOND_LOOK = SECOND / 20;
+    /** After so long a silence another call is made; the watch that is silent stays open until then, and may speak again. */
+    static final long SILENCE = HEARTBEAT + HEARTBEAT_SLACK + SECOND_LOOK;
     private static final long SAY_AGAIN = 10 * SECOND;
     private static final int LONGEST_LINE = 4 << 20;
 
@@ -126,6 +131,7 @@
         private Timers.Timer patience;
         private boolean done;
         private boolean told;
+        private boolean silent;
 
         Watch(String path, boolean watching) {
             this.path = path;
@@ -154,6 +160,34 @@
             patience = timers.after(time, () -> mailbox.tell(() -> fail("silent")));
         }
 
+        /** The next heartbeat, or the rest of a line, is due. */
+        private void expectHeartbeat() {
+            if (patience != null) {
+                patience.cancel();
+            }
+            patience = timers.after(SILENCE - SECOND_LOOK, () -> mailbox.tell(() ->
+                    patience = timers.after(SECOND_LOOK, () -> mailbox.tell(this::missesHeartbeat))));
+        }
+
+        /** Counts as a call that failed, so that the next one is made; drops nothing, for a false alarm costs nothing then. */
+        private void missesHeartbeat() {
+            if (!told) {
+                fail("silent");
+            } else if (!done && !silent) {
+                silent = true;
+                say("watch silent");
+                subscriber.accept(ListKind.FAILED, null);
+            }
+        }
+
+        /** Told again before another call was made: nothing was missed. */
+        private void speaksAgain() {
+            if (silent) {
+                silent = false;
+                subscriber.accept(ListKind.DELTA, new MemberList(revision, false, List.of()));
+            }
+        }
+
         @Override
         public void head(Response response) {
             if (response.status() != 200) {
@@ -167,7 +201,8 @@
                 return;
             }
             if (watching) {
-                expect(SILENCE);
+                expectHeartbeat();
+                speaksAgain();
             }
             try {
                 for (String text : lines.feed(bytes)) {
--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -1,6 +1,7 @@
 package fawnlb.policy;
 
 import fawnlb.decision.Balancer;
+import fawnlb.membership.SubscriptionSchedule;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -49,6 +50,8 @@
         this.typicalStream = new double[settings.classes().size()];
         this.streamsSeen = new int[settings.classes().size()];
         this.random = new SplittableRandom(mix(seed));
+        this.subscription = new SubscriptionSchedule(settings.routers(), settings.rules().askWithin(),
+                random::nextDouble);
         this.retryBurst = this.retryCredit = Math.max(1, RETRY_BURST / Math.max(1, settings.routers()));
     }
 
@@ -110,13 +113,11 @@
     private int nearReady;
     private int zones;
     private int nearTotal;
-    private boolean following;
-    private long nextAsk;
-    private int failedCalls;
+    private final SubscriptionSchedule subscription;
 
     private void listed(Listed news) {
         if (settings.discovery() == Discovery.ASKED && news.kind() != ListKind.VIEW) {
-            follow(news.kind());
+            subscription.heard(now, news.kind()).ifPresent(this::wakeForList);
         }
         if (news.kind() == ListKind.FAILED) {
             return;
@@ -167,32 +168,15 @@
         serveHeld();
     }
 
-    /** What discovery has counts as told 6 s after it could be had. A silent list is given up after 3.5 s of
-     *  these, a call without an answer after 3 s: no pause is longer than this, however many calls failed. */
-    private static final long LONGEST_PAUSE = 2 * SECOND;
-
-    /** Keeps one subscription alive, and spreads the calls of many routers that lost theirs together. */
-    private void follow(ListKind kind) {
-        following = kind == ListKind.DELTA || kind == ListKind.FULL;
-        failedCalls = following ? 0 : failedCalls + (kind == ListKind.FAILED ? 1 : 0);
-        if (!following) {
-            long spread = Math.min(settings.rules().askWithin() / 5, settings.routers() * (SECOND / 50));
-            spread = Math.min(failedCalls > 1 ? spread << Math.min(failedCalls, 4) : spread, LONGEST_PAUSE);
-            long least = failedCalls > 1 ? spread / 2 : 0;
-            askAt(now + least + (long) (random.nextDouble() * (spread - least)));
-        }
-    }
-
     /** The last timer that was set counts: if all did, each call that fails would leave two behind. */
-    private void askAt(long at) {
-        nextAsk = at;
+    private void wakeForList(long at) {
         sink.act(new Timer(at, LIST_TIMER));
     }
 
     private void askForList() {
-        if (!following && now + settings.tick() >= nextAsk) {
+        if (subscription.isDue(now, settings.tick())) {
             sink.act(new Subscribe());
-            askAt(now + settings.rules().askWithin() / 2);
+            wakeForList(subscription.called(now));
         }
     }
 
--- a/node/src/test/java/fawnlb/discovery/ToldTest.java
+++ b/node/src/test/java/fawnlb/discovery/ToldTest.java
@@ -8,6 +8,7 @@
 import fawnlb.decision.Balancer.Subscribe;
 import fawnlb.decision.Balancer.Timer;
 import fawnlb.decision.Balancer.TimerDue;
+import fawnlb.membership.SubscriptionSchedule;
 import fawnlb.policy.Choice;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -21,7 +22,7 @@
  */
 public class ToldTest {
     private static final long S = 1_000_000_000L;
-    private static final long COUNTS_AS_TOLD = 6 * S;
+    private static final long COUNTS_AS_TOLD = SubscriptionSchedule.COUNTS_AS_TOLD;
     /** What the call takes that is then answered. */
     private static final long CALL = S / 2;
 
@@ -99,4 +100,45 @@
             }
         }
     }
+
+    /** Calls that fail one after another although discovery can be reached; what fails first takes the longest to be noticed. */
+    private record Failures(String name, long... knows) { }
+
+    private static final List<Failures> SEQUENCES = List.of(
+            new Failures("silent, refused", Discovery.SILENCE, 0),
+            new Failures("silent, refused, refused", Discovery.SILENCE, 0, 0),
+            new Failures("reset, refused, refused", 0, 0, 0),
+            new Failures("refused, refused, refused", 0, 0, 0),
+            new Failures("no connection, refused, refused", Discovery.CONNECT, 0, 0),
+            new Failures("refused, no connection, refused", 0, Discovery.CONNECT, 0),
+            new Failures("no answer, refused", Discovery.ANSWER, 0),
+            new Failures("refused, no answer", 0, Discovery.ANSWER));
+
+    @Test
+    public void changeIsKnownInTimeAfterTwoOrThreeFailuresInARow() {
+        for (Failures sequence : SEQUENCES) {
+            for (int routers : new int[] {1, 6, 30, 100, 1024}) {
+                for (int before : new int[] {0, 1, 6}) {
+                    for (long seed = 0; seed < 40; seed++) {
+                        Node node = new Node(routers, 10 * S, seed);
+                        node.call();
+                        node.tell(ListKind.DELTA);
+                        for (int i = 0; i < before; i++) {
+                            node.tell(ListKind.FAILED);
+                            node.call();
+                        }
+                        long could = node.now;
+                        for (long knows : sequence.knows()) {
+                            node.now += knows;
+                            node.tell(ListKind.FAILED);
+                            node.call();
+                        }
+                        long late = node.now + CALL - could;
+                        assertTrue(sequence.name() + ", " + routers + " nodes, after " + before + ": " + late / 1_000_000 + " ms",
+                                late <= COUNTS_AS_TOLD);
+                    }
+                }
+            }
+        }
+    }
 }
