Count a request's time from its arrival where the event loop was busy

X-Deadline-Ms is how long the client waits from its sending; the node counted it from the moment at which it read the request, and told targets so.

EventLoopLag tells the longest time for which bytes that are read now may have waited: since the event loop's last look at its sockets. Flows.take counts from there, less 0.1 s, so that an ordinary round changes nothing.

--- /dev/null
+++ b/node/src/main/java/fawnlb/actor/EventLoopLag.java
@@ -0,0 +1,53 @@
+package fawnlb.actor;
+
+import java.util.concurrent.Executor;
+
+/**
+ * How long ago what is being read may have arrived. An event loop looks at its sockets once a round; while it works through what
+ * it found, further bytes wait unseen, and on a small part of a core that can be long. Whoever has to keep a deadline that began
+ * with the arrival asks here.
+ *
+ * <p>It belongs to the event loop's thread. Socket handlers call {@link #handling} first.
+ */
+public final class EventLoopLag {
+    /** A wait for events that is shorter than this counts as none: bytes may have arrived before it. */
+    private static final long MIN_WAIT = 20_000_000;
+
+    private final Executor loop;
+    private final Timers timers;
+    private boolean inRound;
+    private long roundBegan;
+    private long earliest;
+    private long roundEnded = Long.MIN_VALUE / 2;
+
+    /** Creates one for the event loop that runs the tasks of this executor before it looks at its sockets again. */
+    public EventLoopLag(Executor loop, Timers timers) {
+        this.loop = loop;
+        this.timers = timers;
+    }
+
+    /** Called at the beginning of each socket handler. */
+    public void handling() {
+        if (inRound) {
+            return;
+        }
+        inRound = true;
+        long now = timers.now();
+        boolean waited = now - roundEnded >= MIN_WAIT;
+        // What this round finds has arrived after the last one had looked.
+        earliest = waited ? now : roundBegan;
+        roundBegan = now;
+        // Twice, so that it comes behind the tasks that the handlers of this round leave.
+        loop.execute(() -> loop.execute(this::ended));
+    }
+
+    private void ended() {
+        inRound = false;
+        roundEnded = timers.now();
+    }
+
+    /** The longest time, in nanoseconds, for which bytes that are read now may have waited; zero outside a round. */
+    public long nanos() {
+        return inRound ? timers.now() - earliest : 0;
+    }
+}
--- a/node/src/main/java/fawnlb/actor/Timers.java
+++ b/node/src/main/java/fawnlb/actor/Timers.java
@@ -8,6 +8,14 @@
     /** Runs the task once, so many nanoseconds from now. */
     Timer after(long nanos, Runnable task);
 
+    /** Told at the beginning of each socket handler, so that {@link #eventAge} can be known. */
+    default void handlingEvent() { }
+
+    /** How long the bytes that are being read may have waited for this thread, in nanoseconds, at the longest. */
+    default long eventAge() {
+        return 0;
+    }
+
     /** A task that has not run yet. */
     interface Timer {
         void cancel();
--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -91,7 +91,7 @@
         }
         enter(connection, Phase.IDLE);
         ConduitStreamSourceChannel source = connection.getSourceChannel();
-        source.setConduit(new HeadWatch(source.getConduit(), () -> headBegins(connection)));
+        source.setConduit(new HeadWatch(source.getConduit(), timers::handlingEvent, () -> headBegins(connection)));
         reader.handleEvent(connection);
         ChannelListener<? super StreamConnection> readers = connection.getCloseListener();
         connection.setCloseListener(c -> {
@@ -103,17 +103,20 @@
         }
     }
 
-    /** Tells when bytes are read, whoever reads them: Undertow does not say that a head has begun. */
+    /** Tells of each read, and of each that brings bytes, whoever reads: Undertow does not say that a head has begun. */
     private static final class HeadWatch extends AbstractStreamSourceConduit<StreamSourceConduit> {
+        private final Runnable reading;
         private final Runnable bytesRead;
 
-        HeadWatch(StreamSourceConduit next, Runnable bytesRead) {
+        HeadWatch(StreamSourceConduit next, Runnable reading, Runnable bytesRead) {
             super(next);
+            this.reading = reading;
             this.bytesRead = bytesRead;
         }
 
         @Override
         public int read(ByteBuffer into) throws IOException {
+            reading.run();
             int count = super.read(into);
             if (count > 0) {
                 bytesRead.run();
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -21,6 +21,8 @@
     private static final long MARGIN = 10_000_000;
     /** If the module has no answer by then, the core gives one: a flow is never left open. */
     private static final long LAST_CALL = 25_000_000;
+    /** A request may have waited unread for so long without anybody counting it. */
+    private static final long UNCOUNTED_WAIT = 100_000_000;
     private static final long DEFAULT_RETRY_AFTER = 1_000_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
@@ -102,7 +104,8 @@
 
     /** Takes a flow; null if there is no room for one more, and the front must refuse it. */
     public Ticket take(Ask ask, Listener listener) {
-        long taken = timers.now();
+        // Its time runs from its arrival: on a busy thread it has waited, and a target must not be told of time that has passed.
+        long taken = timers.now() - Math.max(0, timers.eventAge() - UNCOUNTED_WAIT);
         Ticket[] ticket = new Ticket[1];
         Flow[] flow = new Flow[1];
         boolean room = !closed && open < settings.limits().open() && mailbox.tell(() -> flow[0] = begin(ask, listener, taken),
--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -161,6 +161,7 @@
     }
 
     private void readable() {
+        timers.handlingEvent();
         if (closed) {
             return;
         }
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -27,6 +27,7 @@
     private final List<Balancer.Event> events = new ArrayList<>();
     private final List<Targets.Report> reports = new ArrayList<>();
     private final List<Long> sendBys = new ArrayList<>();
+    private final List<Long> untils = new ArrayList<>();
     private final Hand hand = new Hand();
     /** The kind of event at which the module throws. */
     private Class<?> faulty;
@@ -50,6 +51,12 @@
     private static final class Hand implements Timers {
         private final List<Object[]> due = new ArrayList<>();
         private long now = 1000 * MS;
+        private long eventAge;
+
+        @Override
+        public long eventAge() {
+            return eventAge;
+        }
 
         @Override
         public long now() {
@@ -78,6 +85,7 @@
         public Forward forward(long target, Ask ask, long until, long sendBy, boolean again, Report report) {
             reports.add(report);
             sendBys.add(sendBy);
+            untils.add(until);
             int number = reports.size();
             seen.add("forward " + target);
             return end -> {
@@ -191,6 +199,15 @@
         assertEquals(List.of("forward 7", "forward 8", "failed failed"), seen);
     }
 
+    /** It has 100 ms from its arrival, of which the core keeps 10; a wait of up to 100 ms counts for nothing. */
+    @Test
+    public void deadlineRunsFromArrivalWhereRequestWaitedForBusyThread() {
+        hand.eventAge = 130 * MS;
+        take();
+        module.act(new Send(1, 7, 0));
+        assertEquals(List.of(hand.now + 60 * MS), untils);
+    }
+
     @Test
     public void aStreamHasNoDeadlineAndItsEndIsToldOnce() {
         take();
