Answer a client where the start of its answer throws or its mailbox is full

Found by reading, for the table of paths on which a request that was read can end: ClientExchange.cut closed the connection of a client that had got nothing, and a message for which a mailbox had no room was dropped without a word to whoever waited for it (client, target, and the core's own last call). Such a client gets the front's failure now, and its attempt is called off; Mailbox.tellOrFail says what a full mailbox means. Both tests were seen to fail without it.

--- a/node/src/main/java/fawnlb/actor/Mailbox.java
+++ b/node/src/main/java/fawnlb/actor/Mailbox.java
@@ -45,6 +45,16 @@
         return true;
     }
 
+    /**
+     * Leaves a message that somebody waits for the outcome of. Failed: runs in its place if it throws, and at once if the
+     * mailbox is full, so that no one waits for a message that was never left.
+     */
+    public void tellOrFail(Runnable message, Runnable failed) {
+        if (!tell(message, failed)) {
+            Guard.run(failed, "message failed for want of room", () -> { });
+        }
+    }
+
     private void schedule() {
         if (scheduled.compareAndSet(false, true)) {
             executor.execute(this::turn);
--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -15,11 +15,14 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
 /** The actor of one client's exchange: passes the answer on as it comes, and sees the client leave. */
 public final class ClientExchange implements Listener, Source.Sink {
+    private static final Logger LOG = Logger.getLogger(ClientExchange.class.getName());
     private static final AttachmentKey<Serving> SERVING = AttachmentKey.create(Serving.class);
 
     /** The ends of an event, as the last bytes that were passed on. */
@@ -77,11 +80,23 @@
     }
 
     private void tell(Runnable message) {
-        mailbox.tell(message, this::cut);
+        mailbox.tellOrFail(message, this::failUnexpectedly);
     }
 
-    /** Something threw that nobody expected: the client's connection ends, so that nothing looks finished. */
-    private void cut() {
+    /**
+     * Something threw that nobody expected. A client that has got nothing is told so; where its answer has begun, its connection
+     * ends, so that nothing looks finished.
+     */
+    private void failUnexpectedly() {
+        try {
+            if (!done && !exchange.isResponseStarted()) {
+                callOff();
+                answer(replies.failed(null), 0, Replies.End.FAILED, null);
+                return;
+            }
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "a failure could not be answered", e);
+        }
         try {
             left();
         } finally {
@@ -89,6 +104,12 @@
         }
     }
 
+    private void callOff() {
+        if (ticket != null) {
+            ticket.gone();
+        }
+    }
+
     /** Told once, at the end of the exchange. */
     private void finished(Replies.End end, int status, Ending cause) {
         done = true;
@@ -149,9 +170,7 @@
     private void left() {
         if (!done) {
             finished(Replies.End.GONE, channel == null ? 0 : replies.servedStatus(), Ending.of(End.READER_LEFT));
-            if (ticket != null) {
-                ticket.gone();
-            }
+            callOff();
             IoUtils.safeClose(connection);
         }
     }
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -129,7 +129,7 @@
         flows.put(flow.id, flow);
         open = flows.size();
         flow.lastCall = timers.after(flow.deadline + LAST_CALL - timers.now(),
-                () -> mailbox.tell(() -> lastCall(flow), () -> abandon(flow)));
+                () -> mailbox.tellOrFail(() -> lastCall(flow), () -> abandon(flow)));
         tell(new Balancer.Request(flow.id, ask.type(), ask.tenant(), ask.session(), ask.prefix(),
                 Math.max(0, flow.deadline - timers.now()), 0, ask.promptTokens(), ask.prefixTokens(),
                 ask.maxTokens(), false, ask.repeat(), false));
@@ -262,12 +262,12 @@
 
                     @Override
                     public void started(Source source) {
-                        mailbox.tell(() -> Flows.this.started(flow, out, source), () -> abandon(flow));
+                        mailbox.tellOrFail(() -> Flows.this.started(flow, out, source), () -> abandon(flow));
                     }
 
                     @Override
                     public void rejected(Source source) {
-                        mailbox.tell(() -> Flows.this.rejected(flow, out, source), () -> abandon(flow));
+                        mailbox.tellOrFail(() -> Flows.this.rejected(flow, out, source), () -> abandon(flow));
                     }
 
                     @Override
@@ -277,7 +277,7 @@
 
                     @Override
                     public void ended(Ending ending, long kept, List<Double> load) {
-                        mailbox.tell(() -> Flows.this.ended(flow, out, ending, kept, load), () -> abandon(flow));
+                        mailbox.tellOrFail(() -> Flows.this.ended(flow, out, ending, kept, load), () -> abandon(flow));
                     }
                 });
     }
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/target/Target.java
@@ -113,7 +113,7 @@
         if (!told) {
             report.ended(Ending.of(End.NOT_SENT), 0, List.of());
         }
-        return end -> mailbox.tell(() -> running.leave(end), running::fail);
+        return end -> mailbox.tellOrFail(() -> running.leave(end), running::fail);
     }
 
     void probe(Targets.ProbeReport report) {
@@ -310,7 +310,7 @@
         }
 
         private void tell(Runnable message) {
-            mailbox.tell(message, this::fail);
+            mailbox.tellOrFail(message, this::fail);
         }
 
         /** Something threw that nobody expected: the client is told, and the target's work called off. */
--- a/node/src/test/java/fawnlb/client/ClientExchangeTest.java
+++ b/node/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -5,6 +5,7 @@
 
 import fawnlb.stream.Ending;
 import fawnlb.actor.Mailbox;
+import fawnlb.flow.Source;
 import io.undertow.Undertow;
 import io.undertow.util.SameThreadExecutor;
 import java.io.InputStream;
@@ -116,4 +117,68 @@
             server.stop();
         }
     }
+
+    /** Throws at the start of an answer, which no front is expected to do. */
+    private static final class FaultyWords implements Replies {
+        private final Words words = new Words();
+
+        @Override
+        public String servedType() {
+            throw new IllegalStateException("meant to fail");
+        }
+
+        @Override
+        public Reply refused(Ending cause) {
+            return words.refused(cause);
+        }
+
+        @Override
+        public Reply failed(Ending cause) {
+            return words.failed(cause);
+        }
+    }
+
+    private static final Source NOTHING = new Source() {
+        @Override
+        public void into(Sink sink) { }
+
+        @Override
+        public void more() { }
+
+        @Override
+        public void lags(int left) { }
+
+        @Override
+        public void closed() { }
+    };
+
+    private static void assertAnswered(Mailbox mailbox, CountDownLatch called) throws Exception {
+        Undertow server = Undertow.builder().setIoThreads(1).addHttpListener(0, "127.0.0.1").setHandler(exchange ->
+                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                    ClientExchange client = new ClientExchange(exchange, mailbox, new FaultyWords());
+                    client.serve(called::countDown);
+                    client.streaming(NOTHING);
+                })).build();
+        server.start();
+        InetSocketAddress address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".getBytes());
+            String answer = new String(socket.getInputStream().readAllBytes());
+            assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.endsWith("no\n"));
+            assertTrue("the attempt is called off", called.await(10, TimeUnit.SECONDS));
+        } finally {
+            server.stop();
+        }
+    }
+
+    @Test
+    public void clientIsAnsweredWhereStartOfItsAnswerThrows() throws Exception {
+        assertAnswered(new Mailbox(Runnable::run, 9), new CountDownLatch(1));
+    }
+
+    @Test
+    public void clientIsAnsweredWhereItsMailboxIsFull() throws Exception {
+        assertAnswered(new Mailbox(Runnable::run, 0), new CountDownLatch(1));
+    }
 }
