Read lists that are indented, on a watch too

FLEET says that lists may come indented; a watch was cut into lines, and the first line of an indented object is none that can be read (found by reading: the call failed, and would have failed again each time). ListReader finds objects by their braces, blank lines between them are heartbeats as before, and a blank line or the end of one within a string or an object says that the rest was lost.

--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.logging.Logger;
@@ -31,7 +32,8 @@
     /** After so long a silence another call is made; the watch that is silent stays open until then, and may speak again. */
     static final long SILENCE = HEARTBEAT + HEARTBEAT_SLACK + SECOND_LOOK;
     private static final long SAY_AGAIN = 10 * SECOND;
-    private static final int LONGEST_LINE = 4 << 20;
+    /** Enough for some 20,000 members. */
+    private static final int MAX_LIST_BYTES = 4 << 20;
 
     private final XnioIoThread thread;
     private final Timers timers;
@@ -125,8 +127,8 @@
     private final class Watch implements Connection.Call {
         private final String path;
         private final boolean watching;
-        private final LineSplitter lines = new LineSplitter(LONGEST_LINE);
-        private final StringBuilder whole = new StringBuilder();
+        private final ListReader reader = new ListReader(MAX_LIST_BYTES);
+        private final List<String> fetched = new ArrayList<>();
         private Connection connection;
         private Timers.Timer patience;
         private boolean done;
@@ -205,13 +207,16 @@
                 speaksAgain();
             }
             try {
-                for (String text : lines.feed(bytes)) {
+                for (String text : reader.feed(bytes)) {
+                    if (text.equals(ListReader.HEARTBEAT) && (!watching || told)) {
+                        continue;
+                    }
                     if (!watching) {
-                        whole.append(text);
-                    } else if (!text.isBlank()) {
+                        fetched.add(text);
+                    } else if (!text.equals(ListReader.HEARTBEAT)) {
                         told = true;
                         line(text, true);
-                    } else if (!told) {
+                    } else {
                         // Nothing has changed since the version that was asked from: that is an answer too.
                         told = true;
                         subscriber.accept(ListKind.DELTA, new MemberList(revision, false, List.of()));
@@ -229,7 +234,10 @@
                 if (watching) {
                     fail("ended");
                 } else if (!done) {
-                    line(whole.append(lines.rest()).toString(), false);
+                    if (reader.isWithinObject() || fetched.size() != 1) {
+                        throw new IOException("expected one whole list");
+                    }
+                    line(fetched.get(0), false);
                     drop();
                 }
             } catch (IOException e) {
