--- a/examples/ToyServer.java
+++ b/examples/ToyServer.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.Executors;
 
 /**
- * Two toy targets for trying a node by hand, one of each dialect: {@code java examples/ToyServer.java [PORT]}.
+ * Two toy backends for trying a node by hand, one of each dialect: {@code java examples/ToyServer.java [PORT]}.
  * Each streams a few words and says on standard output what it was asked.
  */
 public final class ToyServer {
--- a/lab/src/main/java/fawnlb/lab/scenario/SlowReaders.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/SlowReaders.java
@@ -117,7 +117,7 @@
             String table = "";
             for (int i = 0; i < seconds * 2 || clients.open() > 0 && i < seconds * 2 + 40; i++) {
                 TimeUnit.MILLISECONDS.sleep(500);
-                table = AdminClient.targets(admin, false);
+                table = AdminClient.backends(admin, false);
                 held = Math.max(held, sum(HELD, table));
             }
             stage.check();
--- a/lab/src/main/java/fawnlb/lab/scenario/StreamFaults.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StreamFaults.java
@@ -102,8 +102,8 @@
     public Verdict play(long seed, boolean quick) throws Exception {
         Tally tally = new Tally();
         boolean quiet = true;
-        for (Dialect target : Dialect.values()) {
-            quiet &= new Round(target, tally, new Random(seed), quick).run();
+        for (Dialect backend : Dialect.values()) {
+            quiet &= new Round(backend, tally, new Random(seed), quick).run();
         }
         System.out.printf("%-40s %s%n", "fault, and where it struck", "what the client got");
         tally.table.forEach((row, columns) -> System.out.printf("%-40s %s%n", row, columns));
@@ -120,9 +120,9 @@
         return verdict;
     }
 
-    /** All that is asked of targets of one dialect. */
+    /** All that is asked of backends of one dialect. */
     private static final class Round {
-        private final Dialect target;
+        private final Dialect backend;
         private final Tally tally;
         private final Random random;
         private final boolean quick;
@@ -135,8 +135,8 @@
         private int out;
         private long ids;
 
-        Round(Dialect target, Tally tally, Random random, boolean quick) {
-            this.target = target;
+        Round(Dialect backend, Tally tally, Random random, boolean quick) {
+            this.backend = backend;
             this.tally = tally;
             this.random = random;
             this.quick = quick;
@@ -144,7 +144,7 @@
 
         /** Whether the node is quiet in the end. */
         boolean run() throws Exception {
-            boolean messages = target == Dialect.MESSAGES;
+            boolean messages = backend == Dialect.MESSAGES;
             Kind kind = new Kind(messages ? "slow-rate" : "full-rate", 100, 100, 1_000_000, 2048, 2, 0.01, 1e6, 1, 0, 0);
             try (Stage stage = new Stage()) {
                 for (int i = 0; i < BOXES; i++) {
@@ -160,7 +160,7 @@
                         new InetSocketAddress("127.0.0.1", front));
                 learn(stage);
                 fill();
-                System.err.printf("%s targets: %d requests%n", target, queue.size());
+                System.err.printf("%s targets: %d requests%n", backend, queue.size());
                 Stage.on(stage.callers, () -> {
                     for (int i = 0; i < AT_ONCE; i++) {
                         next();
@@ -171,9 +171,9 @@
                 boolean quiet = false;
                 for (int i = 0; i < 100 && !quiet; i++) {
                     TimeUnit.MILLISECONDS.sleep(100);
-                    quiet = AdminClient.targets(admin, false).contains("\n0 stream(s) open, 0 byte(s) held");
+                    quiet = AdminClient.backends(admin, false).contains("\n0 stream(s) open, 0 byte(s) held");
                 }
-                System.out.println("streams at the node, " + target + " targets:\n" + AdminClient.targets(admin, false));
+                System.out.println("streams at the node, " + backend + " targets:\n" + AdminClient.backends(admin, false));
                 return quiet;
             }
         }
@@ -248,7 +248,7 @@
         }
 
         private void ask(Planned one, Consumer<Asker.Answer> told) {
-            String id = String.format("f-%s-%08x", target, ++ids);
+            String id = String.format("f-%s-%08x", backend, ++ids);
             planned.put(id, one);
             String body = "{\"model\":\"advisor\",\"max_tokens\":" + TOKENS + (one.stream ? ",\"stream\":true" : "")
                     + ",\"messages\":[{\"role\":\"user\",\"content\":\"?\"}]}";
@@ -286,7 +286,7 @@
 
         /** In a word what the client got; an answer that may not be is counted as wrong. */
         private String result(Planned one, Asker.Answer answer, boolean same) {
-            String where = one.fault + " " + one.client + " client, " + target + " target, " + (one.stream ? "streamed" : "whole")
+            String where = one.fault + " " + one.client + " client, " + backend + " target, " + (one.stream ? "streamed" : "whole")
                     + ": " + answer;
             if (answer.status() == 0) {
                 tally.wrong("no final answer", where);
--- a/node/src/main/java/fawnlb/admin/AdminClient.java
+++ b/node/src/main/java/fawnlb/admin/AdminClient.java
@@ -13,8 +13,8 @@
 
     private AdminClient() { }
 
-    /** The table of targets, as a person reads it or as JSON. */
-    public static String targets(InetSocketAddress admin, boolean json) throws IOException {
+    /** The table of backends, as a person reads it or as JSON. */
+    public static String backends(InetSocketAddress admin, boolean json) throws IOException {
         URL url = new URL("http", admin.getHostString(), admin.getPort(), json ? "/targets.json" : "/targets");
         HttpURLConnection connection = (HttpURLConnection) url.openConnection();
         connection.setConnectTimeout(TIMEOUT_MS);
--- a/node/src/main/java/fawnlb/admin/AdminFront.java
+++ b/node/src/main/java/fawnlb/admin/AdminFront.java
@@ -19,7 +19,7 @@
     private final Streams streams;
     private final LongFunction<String> addresses;
 
-    /** Addresses: where each target listens. Both are asked on the I/O thread, to which they belong. */
+    /** Addresses: where each backend listens. Both are asked on the I/O thread, to which they belong. */
     public AdminFront(Streams streams, LongFunction<String> addresses) {
         this.streams = streams;
         this.addresses = addresses;
--- a/node/src/main/java/fawnlb/admin/FiguresTable.java
+++ b/node/src/main/java/fawnlb/admin/FiguresTable.java
@@ -12,24 +12,24 @@
 import java.util.function.LongFunction;
 import java.util.stream.Collectors;
 
-/** The figures of all targets as people read them, and as tools do. */
+/** The figures of all backends as people read them, and as tools do. */
 final class FiguresTable {
     private static final String ROW = "%-16s %-22s %5s %9s %9s  %-34s %s%n";
 
     private FiguresTable() { }
 
-    /** A table; {@code address}: where a target listens. */
+    /** A table; {@code address}: where a backend listens. */
     static String text(List<Figures> all, LongFunction<String> address) {
         StringBuilder out = new StringBuilder(String.format(ROW, "target", "address", "open", "held", "cut after", "open, by state",
                 "ended, by how"));
         for (Figures one : all) {
-            out.append(String.format(ROW, name(one), address.apply(one.target()), one.open(), one.heldBytes() + " B",
+            out.append(String.format(ROW, name(one), address.apply(one.backend()), one.open(), one.heldBytes() + " B",
                     one.allowedGap() / 1_000_000 + " ms", states(one), pairs(one.ends())));
         }
         return out.toString();
     }
 
-    /** A JSON array with an object for each target; times in milliseconds, sizes in bytes. */
+    /** A JSON array with an object for each backend; times in milliseconds, sizes in bytes. */
     static String json(List<Figures> all, LongFunction<String> address) {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
@@ -37,7 +37,7 @@
             for (Figures one : all) {
                 out.writeStartObject();
                 out.writeStringField("target", name(one));
-                out.writeStringField("address", address.apply(one.target()));
+                out.writeStringField("address", address.apply(one.backend()));
                 out.writeNumberField("open", one.open());
                 out.writeNumberField("held_bytes", one.heldBytes());
                 out.writeNumberField("cut_after_ms", one.allowedGap() / 1_000_000);
@@ -61,7 +61,7 @@
     }
 
     private static String name(Figures one) {
-        return String.format("%08x", one.target());
+        return String.format("%08x", one.backend());
     }
 
     private static String states(Figures one) {
--- a/node/src/main/java/fawnlb/target/Target.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -1,13 +1,13 @@
-package fawnlb.target;
+package fawnlb.backend;
 
-import fawnlb.decision.Balancer.Outcome;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.dialect.Dialect;
 import fawnlb.dialect.FirstEvent;
 import fawnlb.dialect.Translation;
+import fawnlb.flow.Backends;
 import fawnlb.flow.Source;
-import fawnlb.flow.Targets;
 import fawnlb.http.Connection;
 import fawnlb.http.Response;
 import fawnlb.stream.End;
@@ -27,10 +27,10 @@
 import java.util.logging.Logger;
 import org.xnio.XnioIoThread;
 
-/** One target's actor: its connections and the forwards on them. */
-final class Target {
-    private static final Logger LOG = Logger.getLogger(Target.class.getName());
-    /** An idle connection is retired at this part of the time after which the target itself may close it: a
+/** One backend's actor: its connections and the attempts on them. */
+final class Backend {
+    private static final Logger LOG = Logger.getLogger(Backend.class.getName());
+    /** An idle connection is retired at this part of the time after which the backend itself may close it: a
      *  request written to one that is just being closed would count as a reset. */
     private static final double RETIRE = 0.85;
 
@@ -42,7 +42,7 @@
     /** An answer that is not streamed is kept until it is whole, and may be so long. */
     private static final int LONGEST_WHOLE = 1 << 20;
 
-    /** What a target finds wrong with the request itself: it would with every target, and the client can mend it. */
+    /** What a backend finds wrong with the request itself: it would with every backend, and the client can mend it. */
     private static final Set<Integer> CLIENT_FAULTS = Set.of(400, 404, 413, 422);
 
     private final long id;
@@ -52,8 +52,8 @@
     private final XnioIoThread thread;
     private final Timers timers;
     private final Mailbox mailbox;
-    private final TargetPool.Limits limits;
-    private final TargetPool pool;
+    private final BackendPool.Limits limits;
+    private final BackendPool pool;
     private final Streams streams;
     private final Deque<Idle> idle = new ArrayDeque<>();
     private boolean left;
@@ -61,8 +61,8 @@
 
     private record Idle(Connection connection, long since) { }
 
-    Target(long id, InetSocketAddress address, long since, Dialect dialect, XnioIoThread thread, Timers timers, Mailbox mailbox,
-           TargetPool.Limits limits, TargetPool pool, Streams streams) {
+    Backend(long id, InetSocketAddress address, long since, Dialect dialect, XnioIoThread thread, Timers timers, Mailbox mailbox,
+           BackendPool.Limits limits, BackendPool pool, Streams streams) {
         this.id = id;
         this.address = address;
         this.since = since;
@@ -84,8 +84,8 @@
     }
 
     /**
-     * Gone from the list or moved: idle connections close, forwards that are out run on. A forward may wait in the mailbox
-     * before this; what is kept of the target goes when that has ended too, and would stay if it went before it began.
+     * Gone from the list or moved: idle connections close, attempts that are out run on. An attempt may wait in the mailbox
+     * before this; what is kept of the backend goes when that has ended too, and would stay if it went before it began.
      */
     void leave() {
         mailbox.tell(() -> {
@@ -102,9 +102,9 @@
         mailbox.tell(() -> draining = now);
     }
 
-    /** Prompt tokens and again: as {@link Streams#open} has them; the rest as {@link Targets#forward}. */
-    Targets.Forward forward(Parcel parcel, double promptTokens, long until, long sendBy, boolean again,
-            Targets.Report report) {
+    /** Prompt tokens and again: as {@link Streams#open} has them; the rest as {@link Backends#attempt}. */
+    Backends.Attempt attempt(Parcel parcel, double promptTokens, long until, long sendBy, boolean again,
+            Backends.Report report) {
         Running running = new Running(parcel, until, sendBy, report);
         boolean told = mailbox.tell(() -> {
             running.open(promptTokens, again);
@@ -116,7 +116,7 @@
         return end -> mailbox.tellOrFail(() -> running.leave(end), running::fail);
     }
 
-    void probe(Targets.ProbeReport report) {
+    void probe(Backends.ProbeReport report) {
         Probe probe = new Probe(report);
         if (!mailbox.tell(probe::begin)) {
             report.probed(Outcome.NEVER_SENT, List.of());
@@ -172,7 +172,7 @@
         }
     }
 
-    /** One exchange with the target, from finding a connection to its end. */
+    /** One exchange with the backend, from finding a connection to its end. */
     private abstract class Exchange implements Connection.Call {
         Connection connection;
         boolean done;
@@ -192,7 +192,7 @@
                 pool.socketOpened();
                 Connection.open(thread, timers, address, limits.connect(), this::opened);
             } else {
-                // Our own shortage is no fault of the target's.
+                // Our own shortage is no fault of the backend's.
                 finish(End.NOT_SENT);
             }
         }
@@ -243,7 +243,7 @@
             });
         }
 
-        /** Ends it from our side; closing the connection is what calls the target's work off. */
+        /** Ends it from our side; closing the connection is what calls the backend's work off. */
         void stop(End end) {
             if (!done && connection != null) {
                 close(connection);
@@ -270,7 +270,7 @@
     }
 
     private final class Running extends Exchange implements Source, Streams.Owner {
-        private final Targets.Report report;
+        private final Backends.Report report;
         private final Parcel parcel;
         private final long until;
         private final long sendBy;
@@ -292,7 +292,7 @@
         private State timedFor;
         private Timers.Timer discard;
 
-        Running(Parcel parcel, long until, long sendBy, Targets.Report report) {
+        Running(Parcel parcel, long until, long sendBy, Backends.Report report) {
             this.parcel = parcel;
             this.until = until;
             this.sendBy = sendBy;
@@ -313,7 +313,7 @@
             mailbox.tellOrFail(message, this::fail);
         }
 
-        /** Something threw that nobody expected: the client is told, and the target's work called off. */
+        /** Something threw that nobody expected: the client is told, and the backend's work called off. */
         void fail() {
             stop(End.BROKEN);
             if (sink != null) {
@@ -327,13 +327,13 @@
             report.parked();
         }
 
-        /** The silence of the target or of the reader has lasted too long, or there is no room for the stream. */
+        /** The silence of the backend or of the reader has lasted too long, or there is no room for the stream. */
         @Override
         public void end(End end) {
             boolean over = done;
             stop(end);
             if (over && sink != null) {
-                // The target's side is over; the client has yet to hear that its own is.
+                // The backend's side is over; the client has yet to hear that its own is.
                 complete = false;
                 sink.broken(stream.ending());
             }
@@ -606,11 +606,11 @@
     }
 
     private final class Probe extends Exchange {
-        private final Targets.ProbeReport report;
+        private final Backends.ProbeReport report;
         private List<Double> load = List.of();
         private Response head;
 
-        Probe(Targets.ProbeReport report) {
+        Probe(Backends.ProbeReport report) {
             this.report = report;
             timers.after(limits.probe(), () -> mailbox.tell(() -> stop(End.OUT_OF_TIME)));
         }
--- a/node/src/main/java/fawnlb/target/LoadReport.java
+++ b/node/src/main/java/fawnlb/backend/LoadReport.java
@@ -1,11 +1,11 @@
-package fawnlb.target;
+package fawnlb.backend;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
-/** A target's load report, {@code TEXT inflight=7, queue=2, util=0.61}, in the order that the settings name. */
+/** A backend's load report, {@code TEXT inflight=7, queue=2, util=0.61}, in the order that the settings name. */
 final class LoadReport {
     /** The settings' names of the values, and the report's. */
     private static final Map<String, String> NAMES = Map.of("active", "inflight", "waiting", "queue", "cpu", "util",
--- a/node/src/main/java/fawnlb/target/Parcel.java
+++ b/node/src/main/java/fawnlb/backend/Parcel.java
@@ -1,4 +1,4 @@
-package fawnlb.target;
+package fawnlb.backend;
 
 import fawnlb.dialect.Dialect;
 import fawnlb.flow.Ask;
@@ -6,16 +6,16 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * A request as it goes to a target: path with query, id and body as the client sent them. {@code translated}:
- * the body in the other dialect, null where no target speaks it. {@code idempotencyKey}: by which targets know a repeat, as the
+ * A request as it goes to a backend: path with query, id and body as the client sent them. {@code translated}:
+ * the body in the other dialect, null where no backend speaks it. {@code idempotencyKey}: by which backends know a repeat, as the
  * client sent it, null if it sent none.
  */
 public record Parcel(Dialect dialect, String path, String id, String idempotencyKey, boolean stream, byte[] body,
                      byte[] translated, Tally tally) implements Ask.Parcel {
-    /** The header of a client for its target: a node reads nothing in it, and must not lose it. */
+    /** The header of a client for its backend: a node reads nothing in it, and must not lose it. */
     public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-    /** What a target's answer told of itself; belongs to the I/O thread. */
+    /** What a backend's answer told of itself; belongs to the I/O thread. */
     public static final class Tally {
         private final boolean counts;
         private Dialect spoken;
@@ -44,12 +44,12 @@
             status = given;
         }
 
-        /** The status that the target's answer came with. */
+        /** The status that the backend's answer came with. */
         public int status() {
             return status;
         }
 
-        /** The dialect of the target that answered, null if none did. */
+        /** The dialect of the backend that answered, null if none did. */
         public Dialect spoken() {
             return spoken;
         }
@@ -77,7 +77,7 @@
      * Head and body; the body is not copied, since it stays for another attempt anyhow.
      *
      * @param patience how long the client can wait from now on, in nanoseconds; to be asked for when the bytes are written, so
-     *     that a target is never told of more than is left
+     *     that a backend is never told of more than is left
      */
     ByteBuffer[] request(Dialect to, String host, long patience) {
         byte[] content = to == dialect ? body : translated;
--- a/node/src/main/java/fawnlb/target/Tail.java
+++ b/node/src/main/java/fawnlb/backend/Tail.java
@@ -1,4 +1,4 @@
-package fawnlb.target;
+package fawnlb.backend;
 
 import fawnlb.dialect.Dialect;
 import java.nio.ByteBuffer;
@@ -6,7 +6,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** The last bytes of a stream, where a target tells what it had kept of the prompt and how loaded it is. */
+/** The last bytes of a stream, where a backend tells what it had kept of the prompt and how loaded it is. */
 final class Tail {
     private static final Pattern KEPT = Pattern.compile("\"(?:cached_tokens|cache_read_input_tokens)\"\\s*:\\s*(\\d{1,9})\\D");
     private static final Pattern LOAD = Pattern.compile("(?mi)^: *X-Load:(.*)$");
@@ -30,7 +30,7 @@
         return new String(bytes, 0, size, StandardCharsets.ISO_8859_1);
     }
 
-    /** Prompt tokens that the target still held, 0 if it does not say. */
+    /** Prompt tokens that the backend still held, 0 if it does not say. */
     long kept() {
         long kept = 0;
         for (Matcher matcher = KEPT.matcher(text()); matcher.find();) {
--- a/node/src/main/java/fawnlb/cli/Main.java
+++ b/node/src/main/java/fawnlb/cli/Main.java
@@ -180,7 +180,7 @@
     }
 
     @Parameters(commandDescription = "Ask a running node for its targets and their streams")
-    private static final class TargetsCommand implements Command {
+    private static final class BackendsCommand implements Command {
         @Parameter(names = "--admin", description = "the node's admin listener, as its --streams file has it", required = true)
         private String admin;
         @Parameter(names = "--json", description = "as JSON")
@@ -189,7 +189,7 @@
         @Override
         public void run() throws Exception {
             try {
-                System.out.print(AdminClient.targets(NodeConfig.address("--admin", admin), json));
+                System.out.print(AdminClient.backends(NodeConfig.address("--admin", admin), json));
             } catch (IOException e) {
                 throw new IOException("no answer from " + admin + ": " + e.getMessage());
             }
@@ -208,7 +208,7 @@
     private static Command command(String... words) {
         JCommander line = JCommander.newBuilder().programName("java -jar fawnlb.jar").addCommand("serve", new Serve())
                 .addCommand("check", new Check()).addCommand("snapshot", new Remembers())
-                .addCommand("targets", new TargetsCommand())
+                .addCommand("targets", new BackendsCommand())
                 .addCommand("rehearse", new Rehearse()).addCommand("wirehost", new Wire())
                 .addCommand("version", new Version()).build();
         line.parse(words);
--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -1,12 +1,11 @@
 package fawnlb.cli;
 
-import fawnlb.decision.Balancer;
-import fawnlb.decision.Balancer.Settings;
 import fawnlb.actor.IoTimers;
 import fawnlb.actor.IoTurn;
-import fawnlb.admin.AdminFront;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Watchdog;
+import fawnlb.admin.AdminFront;
+import fawnlb.backend.BackendPool;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.Connections;
 import fawnlb.client.Listeners;
@@ -16,6 +15,8 @@
 import fawnlb.config.NodeConfig;
 import fawnlb.config.StartConfig;
 import fawnlb.config.StreamConfig;
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.dialect.Dialect;
 import fawnlb.discovery.Discovery;
 import fawnlb.discovery.Member;
@@ -33,7 +34,6 @@
 import fawnlb.stream.Streams;
 import fawnlb.syslog.SyslogRecord;
 import fawnlb.syslog.SyslogSender;
-import fawnlb.target.TargetPool;
 import fawnlb.view.View;
 import fawnlb.view.Views;
 import io.undertow.UndertowOptions;
@@ -134,8 +134,8 @@
         IoTimers timers = new IoTimers(thread);
         connections = new Connections(clientShare(config), IDLE, timers);
         Streams streams = new Streams(stream.rules());
-        TargetPool targets = new TargetPool(thread, timers, new TargetPool.Limits(settings.connections().timeout(),
-                settings.connections().idle(), PROBE, targetShare(config), settings.reportFields()), streams);
+        BackendPool backends = new BackendPool(thread, timers, new BackendPool.Limits(settings.connections().timeout(),
+                settings.connections().idle(), PROBE, backendShare(config), settings.reportFields()), streams);
         Remembered remembered = Remembered.read(start, config.known(), timers.now());
         Recorder recorder = recorder(thread, timers, remembered);
         List<View> views = new ArrayList<>(recorder == null ? List.of() : List.of(recorder));
@@ -147,14 +147,14 @@
             if (recorder != null) {
                 recorder.heard(kind, list);
             }
-            core[0].listed(listed(kind, list, targets));
+            core[0].listed(listed(kind, list, backends));
             if (kind != Balancer.ListKind.CACHED) {
                 front.heard();
             }
         });
         // Where lists are pushed, it is to an agent on this machine, and the node has to ask that one.
         flows = new Flows(settings.asked(), config.seed(), (s, seed, sink) -> new Views(views, Choice::new, s, seed, sink),
-                new Mailbox(thread, MAILBOX), timers, targets, discovery);
+                new Mailbox(thread, MAILBOX), timers, backends, discovery);
         core[0] = flows;
         BodyReader bodies = new BodyReader(BODIES);
         OpenIds ids = new OpenIds();
@@ -170,10 +170,10 @@
                     flowLog(thread, timers)), each);
         }
         if (stream.admin() != null) {
-            listen(stream.admin(), new AdminFront(streams, targets::address), OPERATORS);
+            listen(stream.admin(), new AdminFront(streams, backends::address), OPERATORS);
         }
         if (stream.figuresEvery() > 0) {
-            new AdminFront(streams, targets::address).logEvery(stream.figuresEvery(), timers);
+            new AdminFront(streams, backends::address).logEvery(stream.figuresEvery(), timers);
         }
         watch(thread, timers);
         started = true;
@@ -211,14 +211,14 @@
         return recorder;
     }
 
-    /** Clients hold a third of the descriptors for requests at most, and each flow has one forward out. */
-    private static int targetShare(NodeConfig config) {
+    /** Clients hold a third of the descriptors for requests at most, and each flow has one attempt out. */
+    private static int backendShare(NodeConfig config) {
         return config.sockets() / 3;
     }
 
     /** All others but those of the process, for clients also keep connections on which they ask nothing. */
     private static int clientShare(NodeConfig config) {
-        return config.sockets() - targetShare(config) - RESERVED;
+        return config.sockets() - backendShare(config) - RESERVED;
     }
 
     /** Where the platform's front (0), the broker's or the admin listener (in this order, if they are on) listens. */
@@ -226,7 +226,7 @@
         return listeners.address(which);
     }
 
-    /** Flows that are not over, or whose forward is still out. */
+    /** Flows that are not over, or whose attempt is still out. */
     int open() {
         return flows.open();
     }
@@ -303,16 +303,16 @@
         return broker == null ? Set.of() : broker.messageKinds();
     }
 
-    private Balancer.Listed listed(Balancer.ListKind kind, MemberList list, TargetPool targets) {
+    private Balancer.Listed listed(Balancer.ListKind kind, MemberList list, BackendPool backends) {
         if (list == null) {
             return new Balancer.Listed(kind, 0, List.of());
         }
         if (list.complete()) {
-            targets.keep(list.members().stream().map(Member::number).collect(Collectors.toSet()));
+            backends.keep(list.members().stream().map(Member::number).collect(Collectors.toSet()));
         }
         List<Balancer.Replica> replicas = new ArrayList<>();
         for (Member member : list.members()) {
-            targets.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.upSinceMillis(),
+            backends.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.upSinceMillis(),
                     member.phase(), messageKinds().contains(member.kind()) ? Dialect.MESSAGES : Dialect.CHAT);
             replicas.add(new Balancer.Replica(member.number(), member.phase(), member.upSinceMillis() * 1_000_000,
                     member.size(), Math.max(0, config.settings().names().zones().indexOf(member.zone())), member.cell(),
--- a/node/src/main/java/fawnlb/cli/Rehearsal.java
+++ b/node/src/main/java/fawnlb/cli/Rehearsal.java
@@ -28,13 +28,13 @@
 
     /** Fails with an exception if the request is not served as it should be. */
     static void run(Starter starter) throws Exception {
-        try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        try (ServerSocket backend = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
              ServerSocket discovery = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             String list = "{\"revision\":1,\"complete\":true,\"members\":[{\"id\":\"s-00000001\",\"host_port\":\"127.0.0.1:"
-                    + target.getLocalPort() + "\",\"locality\":\"here\",\"flavor\":\"any\",\"cell\":0,\"phase\":\"ready\","
+                    + backend.getLocalPort() + "\",\"locality\":\"here\",\"flavor\":\"any\",\"cell\":0,\"phase\":\"ready\","
                     + "\"size\":1.0,\"up_since_ms\":0}]}";
             answer(discovery, "application/json", list + "\n", false);
-            answer(target, "text/event-stream", "data: [DONE]\n\n", true);
+            answer(backend, "text/event-stream", "data: [DONE]\n\n", true);
             Path file = Files.createTempFile("fawnlb", ".json");
             try {
                 Files.writeString(file, "{\"name\":\"rehearsal\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
--- a/node/src/main/java/fawnlb/cli/Remembered.java
+++ b/node/src/main/java/fawnlb/cli/Remembered.java
@@ -12,7 +12,7 @@
 
 /**
  * The list that a node starts from. {@code snapshot}: what was kept on disk, null if the list comes from elsewhere;
- * {@code heard}: when each target was last heard of, in nanoseconds since the epoch, for those where that is known.
+ * {@code heard}: when each backend was last heard of, in nanoseconds since the epoch, for those where that is known.
  */
 record Remembered(MemberList list, Snapshot snapshot, Map<Long, Long> heard) {
     private static final Logger LOG = Logger.getLogger(Remembered.class.getName());
--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -2,14 +2,14 @@
 
 import fawnlb.actor.Mailbox;
 import fawnlb.flow.Flows;
-import fawnlb.flow.Listener;
+import fawnlb.flow.ClientConnection;
 import fawnlb.flow.Source;
 import fawnlb.stream.End;
 import fawnlb.stream.Ending;
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import java.io.IOException;
@@ -21,7 +21,7 @@
 import org.xnio.channels.StreamSinkChannel;
 
 /** The actor of one client's exchange: passes the answer on as it comes, and sees the client leave. */
-public final class ClientExchange implements Listener, Source.Sink {
+public final class ClientExchange implements ClientConnection, Source.Sink {
     private static final Logger LOG = Logger.getLogger(ClientExchange.class.getName());
     private static final AttachmentKey<Serving> SERVING = AttachmentKey.create(Serving.class);
 
--- a/node/src/main/java/fawnlb/client/Replies.java
+++ b/node/src/main/java/fawnlb/client/Replies.java
@@ -12,10 +12,10 @@
     /** How an exchange ended, as the client saw it. */
     enum End { SERVED, REFUSED, FAILED, BROKEN, GONE }
 
-    /** The content type of an answer that a target gave. */
+    /** The content type of an answer that a backend gave. */
     String servedType();
 
-    /** The status of an answer that a target gave. */
+    /** The status of an answer that a backend gave. */
     default int servedStatus() {
         return 200;
     }
@@ -24,7 +24,7 @@
 
     Reply failed(Ending cause);
 
-    /** The status of a flow that failed: whether its last forward said nothing in time, or something wrong. */
+    /** The status of a flow that failed: whether its last attempt said nothing in time, or something wrong. */
     static int failedStatus(Ending cause) {
         return cause != null && cause.isLate() ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY;
     }
--- a/node/src/main/java/fawnlb/config/BrokerConfig.java
+++ b/node/src/main/java/fawnlb/config/BrokerConfig.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Set;
 
-/** The second front's file. {@code messageKinds}: the kinds of target that speak the messages dialect. */
+/** The second front's file. {@code messageKinds}: the kinds of backend that speak the messages dialect. */
 public record BrokerConfig(InetSocketAddress listen, Set<String> messageKinds, Contracts contracts, Syslog syslog) {
     private static final long MS = 1_000_000;
     private static final long DAY_MS = 86_400_000;
--- a/node/src/main/java/fawnlb/config/NodeConfig.java
+++ b/node/src/main/java/fawnlb/config/NodeConfig.java
@@ -17,7 +17,7 @@
 /** What a node is told at its start. {@code known}: the list as it last had it, null if it never had one. */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                          MemberList known, Settings settings, List<String> complaints) {
-    /** Below this nothing is left for clients beside a third for targets and what the process itself needs. */
+    /** Below this nothing is left for clients beside a third for backends and what the process itself needs. */
     private static final int FEWEST_SOCKETS = 96;
 
     /** A configuration that can't be used; the message is one line. */
--- a/node/src/main/java/fawnlb/config/StreamConfig.java
+++ b/node/src/main/java/fawnlb/config/StreamConfig.java
@@ -11,7 +11,7 @@
 public record StreamConfig(Rules rules, InetSocketAddress admin, long figuresEvery) {
     private static final long MS = 1_000_000;
     private static final long HOUR_MS = 3_600_000;
-    /** Clients are left waiting at most 5 s after a target's last event, and a timer may come late. */
+    /** Clients are left waiting at most 5 s after a backend's last event, and a timer may come late. */
     private static final long LONGEST_SILENCE_MS = 4800;
 
     /** What holds without a file: the admin listener is off, and the log has no figures. */
--- a/node/src/main/java/fawnlb/dialect/Dialect.java
+++ b/node/src/main/java/fawnlb/dialect/Dialect.java
@@ -1,6 +1,6 @@
 package fawnlb.dialect;
 
-/** The two interfaces that clients and targets speak. */
+/** The two interfaces that clients and backends speak. */
 public enum Dialect {
     CHAT("/v1/chat/completions"), MESSAGES("/v1/messages");
 
--- a/node/src/main/java/fawnlb/dialect/FirstEvent.java
+++ b/node/src/main/java/fawnlb/dialect/FirstEvent.java
@@ -5,7 +5,7 @@
 import java.nio.ByteBuffer;
 
 /**
- * Keeps the beginning of a stream until its first event is whole. A target that breaks off within it has answered nothing, and
+ * Keeps the beginning of a stream until its first event is whole. A backend that breaks off within it has answered nothing, and
  * another may be asked; a client that was shown a part of it would be left with no answer.
  */
 public final class FirstEvent {
--- a/node/src/main/java/fawnlb/dialect/Translation.java
+++ b/node/src/main/java/fawnlb/dialect/Translation.java
@@ -6,7 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** Turns one answer of a target into the client's dialect as it comes; or only reads along, for its usage. */
+/** Turns one answer of a backend into the client's dialect as it comes; or only reads along, for its usage. */
 public final class Translation {
     private static final int LONGEST_ANSWER = 1 << 20;
 
@@ -110,7 +110,7 @@
         return skipped;
     }
 
-    /** Tokens of prompt and answer, once the target has told them. */
+    /** Tokens of prompt and answer, once the backend has told them. */
     public long tokens() {
         return input + output;
     }
--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -1,8 +1,8 @@
 package fawnlb.discovery;
 
-import fawnlb.decision.Balancer.ListKind;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
+import fawnlb.decision.Balancer.ListKind;
 import fawnlb.flow.Roster;
 import fawnlb.http.Connection;
 import fawnlb.http.Response;
--- a/node/src/main/java/fawnlb/discovery/Member.java
+++ b/node/src/main/java/fawnlb/discovery/Member.java
@@ -2,11 +2,11 @@
 
 import fawnlb.decision.Balancer.Phase;
 
-/** A target as discovery lists it. */
+/** A backend as discovery lists it. */
 public record Member(String id, String host, int port, String zone, String kind, int cell, Phase phase, double size,
                      long upSinceMillis) {
 
-    /** The same number at every node: a target's place on the ring comes from it. */
+    /** The same number at every node: a backend's place on the ring comes from it. */
     public long number() {
         int dash = id.lastIndexOf('-');
         if (id.substring(dash + 1).matches("[0-9a-f]{8}")) {
--- a/node/src/main/java/fawnlb/flow/Listener.java
+++ b/node/src/main/java/fawnlb/flow/ClientConnection.java
@@ -3,14 +3,14 @@
 import fawnlb.stream.Ending;
 
 /** The client's side of a flow. Exactly one of its answers is called, once, unless the client has left. */
-public interface Listener {
+public interface ClientConnection {
     /** Whether the client is there now, as its connection says at this moment and not when it was last looked at. */
     boolean present();
 
-    /** A target's stream is the answer. */
+    /** A backend's stream is the answer. */
     void streaming(Source source);
 
-    /** Fixed response: trying again is harmless, after so many nanoseconds. Cause: how the last forward ended,
+    /** Fixed response: trying again is harmless, after so many nanoseconds. Cause: how the last attempt ended,
      *  null if there was none. */
     void refused(Ending cause, long retryAfter);
 
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -1,9 +1,9 @@
 package fawnlb.flow;
 
-import fawnlb.decision.Balancer;
-import fawnlb.decision.Balancer.Outcome;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
+import fawnlb.decision.Balancer;
+import fawnlb.decision.Balancer.Outcome;
 import fawnlb.stream.End;
 import fawnlb.stream.Ending;
 import java.util.HashMap;
@@ -13,7 +13,7 @@
 
 /**
  * The core: the module's actor and the owner of every flow from taken to its one final answer. It carries
- * out what the module decides and knows nothing of how clients and targets speak.
+ * out what the module decides and knows nothing of how clients and backends speak.
  */
 public final class Flows {
     private static final Logger LOG = Logger.getLogger(Flows.class.getName());
@@ -30,7 +30,7 @@
     private final Balancer balancer;
     private final Mailbox mailbox;
     private final Timers timers;
-    private final Targets targets;
+    private final Backends backends;
     private final Roster roster;
     private final Map<Long, Flow> flows = new HashMap<>();
     private long lastId;
@@ -38,11 +38,11 @@
     private volatile boolean closed;
 
     public Flows(Balancer.Settings settings, long seed, Balancer.Maker maker, Mailbox mailbox, Timers timers,
-                 Targets targets, Roster roster) {
+                 Backends backends, Roster roster) {
         this.settings = settings;
         this.mailbox = mailbox;
         this.timers = timers;
-        this.targets = targets;
+        this.backends = backends;
         this.roster = roster;
         this.balancer = maker.make(settings, seed, this::act);
     }
@@ -56,43 +56,43 @@
     private static final class Flow {
         final long id;
         final Ask ask;
-        final Listener listener;
+        final ClientConnection client;
         final long deadline;
         Timers.Timer lastCall;
         boolean over;
         int attempts;
         Ending last;
         Out out;
-        /** When the first forward that may have run was sent. */
+        /** When the first attempt that may have run was sent. */
         long ranFrom = NEVER;
 
-        Flow(long id, Ask ask, Listener listener, long deadline) {
+        Flow(long id, Ask ask, ClientConnection client, long deadline) {
             this.id = id;
             this.ask = ask;
-            this.listener = listener;
+            this.client = client;
             this.deadline = deadline;
         }
     }
 
-    /** The one forward of a flow that is out. */
+    /** The one attempt of a flow that is out. */
     private static final class Out {
         final int number;
-        final long target;
+        final long backend;
         final long sentAt;
-        Targets.Forward forward;
+        Backends.Attempt attempt;
         Timers.Timer stop;
         boolean streaming;
         boolean rejected;
         boolean parked;
 
-        Out(int number, long target, long sentAt) {
+        Out(int number, long backend, long sentAt) {
             this.number = number;
-            this.target = target;
+            this.backend = backend;
             this.sentAt = sentAt;
         }
     }
 
-    /** Flows without their final answer or with a forward still out. */
+    /** Flows without their final answer or with an attempt still out. */
     public int open() {
         return open;
     }
@@ -103,12 +103,12 @@
     }
 
     /** Takes a flow; null if there is no room for one more, and the front must refuse it. */
-    public Ticket take(Ask ask, Listener listener) {
-        // Its time runs from its arrival: on a busy thread it has waited, and a target must not be told of time that has passed.
+    public Ticket take(Ask ask, ClientConnection client) {
+        // Its time runs from its arrival: on a busy thread it has waited, and a backend must not be told of time that has passed.
         long taken = timers.now() - Math.max(0, timers.eventAge() - UNCOUNTED_WAIT);
         Ticket[] ticket = new Ticket[1];
         Flow[] flow = new Flow[1];
-        boolean room = !closed && open < settings.limits().open() && mailbox.tell(() -> flow[0] = begin(ask, listener, taken),
+        boolean room = !closed && open < settings.limits().open() && mailbox.tell(() -> flow[0] = begin(ask, client, taken),
                 () -> abandon(flows.get(lastId)));
         ticket[0] = () -> mailbox.tell(() -> gone(flow[0]));
         return room ? ticket[0] : null;
@@ -123,9 +123,9 @@
         balancer.on(timers.now(), event);
     }
 
-    private Flow begin(Ask ask, Listener listener, long taken) {
+    private Flow begin(Ask ask, ClientConnection client, long taken) {
         long patience = Math.max(0, ask.patience() - MARGIN);
-        Flow flow = new Flow(++lastId, ask, listener, taken + patience);
+        Flow flow = new Flow(++lastId, ask, client, taken + patience);
         flows.put(flow.id, flow);
         open = flows.size();
         flow.lastCall = timers.after(flow.deadline + LAST_CALL - timers.now(),
@@ -154,9 +154,9 @@
             boolean harmless = type(flow).refusable(flow.out != null || flow.ranFrom != NEVER);
             finish(flow, () -> {
                 if (harmless) {
-                    flow.listener.refused(flow.last, retryAfter(0));
+                    flow.client.refused(flow.last, retryAfter(0));
                 } else {
-                    flow.listener.failed(flow.last);
+                    flow.client.failed(flow.last);
                 }
             });
             tell(new Balancer.ClientGone(flow.id));
@@ -165,7 +165,7 @@
 
     /** Something threw that nobody expected while this flow was dealt with: it is answered, and no other is held up. */
     private void abandon(Flow flow) {
-        finish(flow, () -> flow.listener.failed(flow.last));
+        finish(flow, () -> flow.client.failed(flow.last));
     }
 
     /** Gives the final answer, unless it has been given, and ends what is still out. */
@@ -192,8 +192,8 @@
     }
 
     private void stop(Flow flow, End end) {
-        if (flow.out != null && flow.out.forward != null) {
-            flow.out.forward.stop(end);
+        if (flow.out != null && flow.out.attempt != null) {
+            flow.out.attempt.stop(end);
         }
     }
 
@@ -214,10 +214,10 @@
             }
         } else if (action instanceof Balancer.Refuse a) {
             Flow flow = flows.get(a.request());
-            finish(flow, () -> flow.listener.refused(flow.last, retryAfter(a.retryAfter())));
+            finish(flow, () -> flow.client.refused(flow.last, retryAfter(a.retryAfter())));
         } else if (action instanceof Balancer.Fail a) {
             Flow flow = flows.get(a.request());
-            finish(flow, () -> flow.listener.failed(flow.last));
+            finish(flow, () -> flow.client.failed(flow.last));
         } else if (action instanceof Balancer.Timer a) {
             timers.after(a.at() - timers.now(), () -> mailbox.tell(() -> tell(new Balancer.TimerDue(a.token()))));
         } else if (action instanceof Balancer.Subscribe) {
@@ -226,7 +226,7 @@
             roster.fetch();
         } else if (action instanceof Balancer.Probe a) {
             long sentAt = timers.now();
-            targets.probe(a.replica(), (outcome, load) -> mailbox.tell(() ->
+            backends.probe(a.replica(), (outcome, load) -> mailbox.tell(() ->
                     tell(new Balancer.Probed(a.replica(), outcome, timers.now() - sentAt, load))));
         } else if (action instanceof Balancer.Log a) {
             LOG.info(a.text());
@@ -235,7 +235,7 @@
 
     private void send(Balancer.Send send) {
         Flow flow = flows.get(send.request());
-        // Never a forward for a flow that is over, a second one beside another, or one more than allowed.
+        // Never an attempt for a flow that is over, a second one beside another, or one more than allowed.
         if (flow == null || flow.over || flow.out != null || flow.attempts >= settings.limits().attempts()) {
             int number = flow == null ? 0 : flow.attempts++;
             boolean over = flow == null || flow.over;
@@ -253,11 +253,11 @@
             }
         }));
         boolean again = type(flow).effect() == Balancer.Effect.SAFE && flow.attempts < settings.limits().attempts();
-        out.forward = targets.forward(send.replica(), flow.ask, stopAt, sendBy(flow), again,
-                new Targets.Report() {
+        out.attempt = backends.attempt(send.replica(), flow.ask, stopAt, sendBy(flow), again,
+                new Backends.Report() {
                     @Override
                     public boolean wanted() {
-                        return !flow.over && flow.listener.present();
+                        return !flow.over && flow.client.present();
                     }
 
                     @Override
@@ -292,7 +292,7 @@
         return type.effect() == Balancer.Effect.SAFE || flow.ranFrom == NEVER ? NEVER : flow.ranFrom + type.window();
     }
 
-    // ---- What becomes of forwards ---------------------------------------------------------------------
+    // ---- What becomes of attempts ---------------------------------------------------------------------
 
     private void started(Flow flow, Out out, Source source) {
         if (flow.out != out || flow.over) {
@@ -302,11 +302,11 @@
         out.stop.cancel();
         flow.over = true;
         flow.lastCall.cancel();
-        flow.listener.streaming(source);
-        tell(new Balancer.Started(flow.id, out.number, out.target, timers.now() - out.sentAt));
+        flow.client.streaming(source);
+        tell(new Balancer.Started(flow.id, out.number, out.backend, timers.now() - out.sentAt));
     }
 
-    /** Neither the target's merit nor its failure: to the module, the client has taken its request back. */
+    /** Neither the backend's merit nor its failure: to the module, the client has taken its request back. */
     private void rejected(Flow flow, Out out, Source source) {
         if (flow.out != out || flow.over) {
             return;
@@ -316,18 +316,18 @@
         out.stop.cancel();
         flow.over = true;
         flow.lastCall.cancel();
-        flow.listener.streaming(source);
+        flow.client.streaming(source);
         tell(new Balancer.ClientGone(flow.id));
     }
 
     /**
      * To the module the client has taken its request back: it counts requests in flight as work, and hundreds of
-     * readers that have stopped would hide from it what is. How the stream ends says nothing of its target either.
+     * readers that have stopped would hide from it what is. How the stream ends says nothing of its backend either.
      */
     private void parked(Flow flow, Out out) {
         if (flow.out == out && out.streaming && !out.rejected && !out.parked) {
             out.parked = true;
-            tell(new Balancer.Ended(flow.id, out.number, out.target, Outcome.CANCELLED, true, timers.now() - out.sentAt, 0,
+            tell(new Balancer.Ended(flow.id, out.number, out.backend, Outcome.CANCELLED, true, timers.now() - out.sentAt, 0,
                     List.of()));
         }
     }
@@ -346,6 +346,6 @@
             return;
         }
         Outcome told = out.rejected ? Outcome.CANCELLED : ending.outcome();
-        tell(new Balancer.Ended(flow.id, out.number, out.target, told, over, timers.now() - out.sentAt, kept, load));
+        tell(new Balancer.Ended(flow.id, out.number, out.backend, told, over, timers.now() - out.sentAt, kept, load));
     }
 }
--- a/node/src/main/java/fawnlb/flow/Roster.java
+++ b/node/src/main/java/fawnlb/flow/Roster.java
@@ -1,6 +1,6 @@
 package fawnlb.flow;
 
-/** The list of targets, which tells the core only what it was asked for. */
+/** The list of backends, which tells the core only what it was asked for. */
 public interface Roster {
     void subscribe();
 
--- a/node/src/main/java/fawnlb/flow/Source.java
+++ b/node/src/main/java/fawnlb/flow/Source.java
@@ -3,7 +3,7 @@
 import fawnlb.stream.Ending;
 import java.nio.ByteBuffer;
 
-/** A target's stream that has begun. It sends a sink one chunk, and the next when the sink asks for more. */
+/** A backend's stream that has begun. It sends a sink one chunk, and the next when the sink asks for more. */
 public interface Source {
     void into(Sink sink);
 
--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -124,7 +124,7 @@
 
     /**
      * Asks for the next piece of the body. It comes when the I/O thread has looked at all sockets again: a wake-up would be
-     * a task, and a target that sends without a pause would have the thread to itself.
+     * a task, and a backend that sends without a pause would have the thread to itself.
      */
     public void more() {
         if (!closed) {
--- a/node/src/main/java/fawnlb/http/Heads.java
+++ b/node/src/main/java/fawnlb/http/Heads.java
@@ -32,7 +32,7 @@
     /**
      * A header's one value, null if it is missing.
      *
-     * @throws IllegalArgumentException if it is given more than once: a target might believe the other
+     * @throws IllegalArgumentException if it is given more than once: a backend might believe the other
      */
     public static String one(HttpServerExchange exchange, String name) {
         HeaderValues values = exchange.getRequestHeaders().get(name);
--- a/node/src/main/java/fawnlb/http/ResponseParser.java
+++ b/node/src/main/java/fawnlb/http/ResponseParser.java
@@ -15,7 +15,7 @@
     /** All heads of a response together, those of 1xx answers ahead of it too: a head that never ends is an error. */
     private static final int LONGEST_HEADS = 16 * 1024;
     private static final String VERSION = "HTTP/1.";
-    /** Targets send events of a few hundred bytes each; one chunk of gigabytes is noise. */
+    /** Backends send events of a few hundred bytes each; one chunk of gigabytes is noise. */
     private static final long LARGEST_CHUNK = 1 << 20;
 
     private final Lines lines = new Lines(LONGEST_HEADS, false);
--- a/node/src/main/java/fawnlb/messages/BrokerReplies.java
+++ b/node/src/main/java/fawnlb/messages/BrokerReplies.java
@@ -1,10 +1,10 @@
 package fawnlb.messages;
 
 import fawnlb.actor.Timers;
+import fawnlb.backend.Parcel;
 import fawnlb.client.Replies;
 import fawnlb.dialect.ErrorBody;
 import fawnlb.stream.Ending;
-import fawnlb.target.Parcel;
 import io.undertow.util.StatusCodes;
 import java.util.Locale;
 import java.util.function.LongConsumer;
--- a/node/src/main/java/fawnlb/messages/FlowLog.java
+++ b/node/src/main/java/fawnlb/messages/FlowLog.java
@@ -1,9 +1,9 @@
 package fawnlb.messages;
 
+import fawnlb.backend.Parcel;
 import fawnlb.stream.Ending;
 import fawnlb.syslog.SyslogRecord;
 import fawnlb.syslog.SyslogSender;
-import fawnlb.target.Parcel;
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Locale;
--- a/node/src/main/java/fawnlb/messages/MessagesFront.java
+++ b/node/src/main/java/fawnlb/messages/MessagesFront.java
@@ -1,22 +1,22 @@
 package fawnlb.messages;
 
-import fawnlb.decision.Balancer.Settings;
 import fawnlb.actor.Mailbox;
 import fawnlb.actor.Timers;
-import fawnlb.http.BodyReader;
-import fawnlb.http.Heads;
+import fawnlb.backend.Parcel;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.Keys;
 import fawnlb.client.OpenIds;
 import fawnlb.client.Replies;
 import fawnlb.contract.Contract;
 import fawnlb.contract.Contracts;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.dialect.Dialect;
 import fawnlb.dialect.ErrorBody;
 import fawnlb.dialect.Prompt;
 import fawnlb.flow.Ask;
 import fawnlb.flow.Flows;
-import fawnlb.target.Parcel;
+import fawnlb.http.BodyReader;
+import fawnlb.http.Heads;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -68,7 +68,7 @@
         }
     }
 
-    /** An answer given before any forward; it is logged like every other. */
+    /** An answer given before any attempt; it is logged like every other. */
     private final class Refusal {
         private final HttpServerExchange exchange;
         private final FlowRecord record;
--- a/node/src/main/java/fawnlb/platform/AskReader.java
+++ b/node/src/main/java/fawnlb/platform/AskReader.java
@@ -1,7 +1,7 @@
 package fawnlb.platform;
 
-import fawnlb.decision.Balancer.Settings;
 import fawnlb.client.Keys;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.flow.Ask;
 import java.util.Map;
 import java.util.function.Function;
--- a/node/src/main/java/fawnlb/platform/PlatformFront.java
+++ b/node/src/main/java/fawnlb/platform/PlatformFront.java
@@ -1,17 +1,17 @@
 package fawnlb.platform;
 
-import fawnlb.decision.Balancer.Settings;
 import fawnlb.actor.Mailbox;
-import fawnlb.http.BodyReader;
-import fawnlb.http.Heads;
+import fawnlb.backend.Parcel;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.OpenIds;
 import fawnlb.client.Replies;
+import fawnlb.decision.Balancer.Settings;
 import fawnlb.dialect.Dialect;
 import fawnlb.dialect.Prompt;
 import fawnlb.flow.Ask;
 import fawnlb.flow.Flows;
-import fawnlb.target.Parcel;
+import fawnlb.http.BodyReader;
+import fawnlb.http.Heads;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -31,7 +31,7 @@
     private volatile boolean heard;
     private volatile boolean draining;
 
-    /** Mixed: some targets speak the other dialect, so that every request must be one that can be translated. */
+    /** Mixed: some backends speak the other dialect, so that every request must be one that can be translated. */
     public PlatformFront(Flows flows, BodyReader bodies, OpenIds ids, Settings settings, boolean mixed) {
         this.flows = flows;
         this.bodies = bodies;
--- a/node/src/main/java/fawnlb/platform/PlatformReplies.java
+++ b/node/src/main/java/fawnlb/platform/PlatformReplies.java
@@ -1,8 +1,8 @@
 package fawnlb.platform;
 
+import fawnlb.backend.Parcel;
 import fawnlb.client.Replies;
 import fawnlb.stream.Ending;
-import fawnlb.target.Parcel;
 import io.undertow.util.StatusCodes;
 
 /** The platform's words for one flow's answers. */
--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -197,7 +197,7 @@
             }
         }
         zones = met.cardinality();
-        findLeavers();
+        findNextToDrain();
     }
 
     // ---- Ring and cap ---------------------------------------------------------------------------------
@@ -299,16 +299,16 @@
 
     /**
      * Hot prefix: one prefix that draws more than the cap lets a replica carry would be spilled by every
-     * router to the same neighbours. While its part of this router's last requests is above SLOT of a
+     * router to the same neighbours. While its part of this router's last requests is above PLACE_SHARE of a
      * replica's part, its sessions are dealt over so many places on the ring that each stays below that; each
-     * place reads the prefix once. Places lump by chance: from this MANY of the replicas on each session is
-     * one. A router believes a part seen in DOUBT requests by half; DOUBT does not grow with the fleet, since
-     * what a router sees doesn't, and all would leave a hot prefix whole.
+     * place reads the prefix once. Places lump by chance: from SPREAD_LIMIT of the replicas on each session
+     * is one. A router believes a part seen in PRIOR_REQUESTS requests by half; that does not grow with the
+     * fleet, since what a router sees doesn't, and all would leave a hot prefix whole.
      */
-    static final double SLOT = 0.25;
-    static final double DOUBT = 16;
-    static final double MANY = 0.25;
-    static final int RECENT = 8;
+    static final double PLACE_SHARE = 0.25;
+    static final double PRIOR_REQUESTS = 16;
+    static final double SPREAD_LIMIT = 0.25;
+    static final int RECENT_PER_REPLICA = 8;
     private final ArrayDeque<Task> recent = new ArrayDeque<>();
     private final Map<Long, double[]> recentByKey = new HashMap<>();
     private double recentWork;
@@ -318,7 +318,7 @@
         recentByKey.computeIfAbsent(task.key, k -> new double[2])[0] += task.work;
         recentByKey.get(task.key)[1]++;
         recentWork += task.work;
-        while (recent.size() > RECENT * Math.max(16, ready)) {
+        while (recent.size() > RECENT_PER_REPLICA * Math.max(16, ready)) {
             Task old = recent.poll();
             double[] sum = recentByKey.get(old.key);
             sum[0] -= old.work;
@@ -332,14 +332,15 @@
     private long ringKey(Task task, int replicas) {
         double seen = recent.size();
         double[] sum = task.key == task.session ? null : recentByKey.get(task.key);
-        double need = sum == null ? 1 : sum[0] / recentWork * replicas / SLOT * seen / (seen + DOUBT);
+        double need = sum == null ? 1
+                : sum[0] / recentWork * replicas / PLACE_SHARE * seen / (seen + PRIOR_REQUESTS);
         long places = 1;
         while (places < need) {
             places *= 2;
         }
         long place = mix(~task.session) & places - 1;
         long key = place == 0 ? task.key : mix(task.key + place);
-        return places > 1 && places >= MANY * replicas ? task.session : key;
+        return places > 1 && places >= SPREAD_LIMIT * replicas ? task.session : key;
     }
 
     /**
@@ -373,21 +374,21 @@
     /**
      * Slow replica: a count says nothing of how fast it shrinks, and a replica that has slowed down or fallen
      * silent would hold as many requests as the others and answer them late. While its first tokens take more
-     * than SLOW times as long as usual, or it has said nothing for that long to those that wait, its cap
-     * shrinks in proportion, to one at least; it ends with the first tokens that come as usual again. So it
-     * does while a replica is cold.
+     * than LAG_OUTLIER times as long as usual, or it has said nothing for that long to those that wait, its
+     * cap shrinks in proportion, to one at least; it ends with the first tokens that come as usual again. So
+     * it does while a replica is cold.
      */
-    static final double SLOW = 2;
+    static final double LAG_OUTLIER = 2;
     /** No lag below this part of a request's aim matters, and no difference of streams that are shorter. */
-    static final double LEAST_LAG = 0.05;
+    static final double MIN_LAG = 0.05;
     private double usualLag;
 
     private long capOf(Node node, long limit, Task task) {
         double lag = Math.max(node.lag, node.waiting > 0 ? now - node.waitingSince : 0);
-        double bearable = SLOW * Math.max(usualLag, LEAST_LAG * task.aim);
+        double bearable = LAG_OUTLIER * Math.max(usualLag, MIN_LAG * task.aim);
         double part = lag <= bearable ? 1 : bearable / lag;
         part *= node.cold ? present(node) : 1;
-        part *= leaves(node) && middle(this::paceOf) < NEEDED * bestPace ? LEAVING : 1;
+        part *= drainsNext(node) && middle(this::paceOf) < MAX_SLOWDOWN * bestPace ? NEXT_TO_DRAIN_CAP : 1;
         return Math.max(1, (long) (limit * part));
     }
 
@@ -400,12 +401,13 @@
     /** The pace of the quickest kind of ready replicas that was met often enough; NEVER if none was. */
     private double quickestPace() {
         return nodes.values().stream().filter(n -> n.phase == Phase.READY).map(n -> kindPace.get(n.kind))
-                .filter(k -> k != null && k[1] >= KIN).mapToDouble(k -> k[0]).min().orElse(NEVER);
+                .filter(k -> k != null && k[1] >= KIND_PRIOR_STREAMS)
+                .mapToDouble(k -> k[0]).min().orElse(NEVER);
     }
 
-    /** What is usual follows no single slow replica: a first token counts SLOW times the usual at most. */
+    /** What is usual follows no slow replica: a first token counts LAG_OUTLIER times the usual at most. */
     private void judgeLag(Node node, double took) {
-        usualLag += usualLag == 0 ? took : (Math.min(took, SLOW * usualLag) - usualLag) / 64;
+        usualLag += usualLag == 0 ? took : (Math.min(took, LAG_OUTLIER * usualLag) - usualLag) / 64;
         node.lag += (took - node.lag) / 8;
     }
 
@@ -417,43 +419,43 @@
 
     /**
      * Release: while replicas drain one after another, those that started first are the next, and a stream
-     * that has only begun by then is cut when its replica goes. From the second drain within RELEASE on, the
-     * cap of the LEAVERS oldest is this part of the others'; it ends so long after the last drain, and while
-     * streams take NEEDED times as long as at best: then every replica is needed.
+     * that has only begun by then is cut when its replica goes. From the second drain within RELEASE_WINDOW
+     * on, the cap of the NEXT_TO_DRAIN oldest is this part of the others'; it ends so long after the last
+     * drain, and while streams take MAX_SLOWDOWN times as long as at best: then every replica is needed.
      */
-    static final long RELEASE = 10 * SECOND;
-    static final int LEAVERS = 3;
-    static final double LEAVING = 0.3;
-    static final double NEEDED = 1.6;
+    static final long RELEASE_WINDOW = 10 * SECOND;
+    static final int NEXT_TO_DRAIN = 3;
+    static final double NEXT_TO_DRAIN_CAP = 0.3;
+    static final double MAX_SLOWDOWN = 1.6;
     private long lastDrain = Long.MIN_VALUE / 2;
     private long releaseUntil = Long.MIN_VALUE;
-    private long leavesBefore;
+    private long drainsNextBefore;
 
     private void drains() {
-        releaseUntil = now - lastDrain < RELEASE ? now + RELEASE : releaseUntil;
+        releaseUntil = now - lastDrain < RELEASE_WINDOW ? now + RELEASE_WINDOW : releaseUntil;
         lastDrain = now;
     }
 
     /** Where many started together, none of them is known to be the next. */
-    private void findLeavers() {
+    private void findNextToDrain() {
         long[] starts = nodes.values().stream().filter(node -> node.phase == Phase.READY)
                 .mapToLong(node -> node.readyAt).sorted().toArray();
-        leavesBefore = starts.length >= 2 * LEAVERS ? starts[LEAVERS] : 0;
+        drainsNextBefore = starts.length >= 2 * NEXT_TO_DRAIN ? starts[NEXT_TO_DRAIN] : 0;
     }
 
-    private boolean leaves(Node node) {
-        return now < releaseUntil && node.readyAt < leavesBefore;
+    private boolean drainsNext(Node node) {
+        return now < releaseUntil && node.readyAt < drainsNextBefore;
     }
 
     /**
-     * Overload: while first tokens come late, or attempts end full or timed out, more often than CALM at half
-     * of the replicas, that part of the sessions is refused on arrival, in the order of their hash: the same
-     * ones at every router, so that the others keep their prompts. It ends as the answers come in time again.
+     * Overload: while first tokens come late, or attempts end full or timed out, more often than
+     * OVERLOAD_THRESHOLD at half of the replicas, that part of the sessions is refused on arrival, in the
+     * order of their hash: the same ones at every router, so that the others keep their prompts.
      * A few replicas that are slow or out of reach are no overload: the others can serve what they can't.
      */
-    static final double CALM = 0.1;
+    static final double OVERLOAD_THRESHOLD = 0.1;
     /** Some sessions always pass: with none, no answer could show that the trouble is over. */
-    static final double MOST_SHED = 0.9;
+    static final double MAX_SHED = 0.9;
 
     private static void judgeLoad(Node node, boolean late) {
         node.late += ((late ? 1 : 0) - node.late) / 16;
@@ -468,9 +470,9 @@
 
     private boolean sheds(Task task) {
         double slow = 1 - SLOW_STREAMS * bestPace / middle(this::paceOf);
-        double part = Math.max(middle(n -> n.late) - CALM, slow);
+        double part = Math.max(middle(n -> n.late) - OVERLOAD_THRESHOLD, slow);
         part *= claim(task.request.tenant());
-        return part > 0 && (mix(task.session ^ 0x5ca1ab1eL) >>> 11) * 0x1p-53 < Math.min(MOST_SHED, part);
+        return part > 0 && (mix(task.session ^ 0x5ca1ab1eL) >>> 11) * 0x1p-53 < Math.min(MAX_SHED, part);
     }
 
     /**
@@ -501,38 +503,39 @@
      * SLOW_STREAMS times that, so many sessions are refused as bring the streams back to it.
      */
     static final double SLOW_STREAMS = 2.2;
-    private static final int STREAMS = 64;
-    private static final double LONGEST = 16;
+    private static final int STREAM_SAMPLES = 64;
+    private static final double MAX_STREAM_RATIO = 16;
     private final double[] typicalStream;
     private final int[] streamsSeen;
     private double bestPace = 1;
 
     /** A router meets one of many replicas a few times in ten seconds: what it has seen of others of that
-     *  kind counts as KIN streams of its own. */
-    static final int KIN = 8;
+     *  kind counts as KIND_PRIOR_STREAMS streams of its own. */
+    static final int KIND_PRIOR_STREAMS = 8;
     private final Map<Integer, double[]> kindPace = new HashMap<>();
 
     private double paceOf(Node node) {
         int own = Math.min(node.streams, 16);
         double[] kind = kindPace.get(node.kind);
-        return kind == null ? node.pace : (own * node.pace + KIN * kind[0]) / (own + KIN);
+        double all = own + KIND_PRIOR_STREAMS;
+        return kind == null ? node.pace : (own * node.pace + KIND_PRIOR_STREAMS * kind[0]) / all;
     }
 
     private void judgePace(Node node, Task task, double took) {
-        double stream = Math.max(LEAST_LAG * task.aim, took) / task.tokens;
+        double stream = Math.max(MIN_LAG * task.aim, took) / task.tokens;
         int type = task.request.type();
         if (type < 0 || type >= typicalStream.length) {
             return;
         }
         int seen = ++streamsSeen[type];
-        if (seen <= STREAMS) {
+        if (seen <= STREAM_SAMPLES) {
             typicalStream[type] += (stream - typicalStream[type]) / seen;
         }
-        double ratio = Math.min(LONGEST, stream / typicalStream[type]);
+        double ratio = Math.min(MAX_STREAM_RATIO, stream / typicalStream[type]);
         node.pace += (ratio - node.pace) / Math.min(++node.streams, 16);
         double[] kind = kindPace.computeIfAbsent(node.kind, k -> new double[2]);
         kind[0] += (ratio - kind[0]) / Math.min(++kind[1], 64);
-        if (seen > 2 * STREAMS) {
+        if (seen > 2 * STREAM_SAMPLES) {
             bestPace = Math.min(bestPace, middle(this::paceOf));
         }
     }
@@ -721,13 +724,13 @@
      * cost the request. A first attempt that may be repeated is stopped while there is time to be in time
      * elsewhere; not where first tokens take about so long now, nor without credit for a retry.
      */
-    static final double PATIENCE = 0.5;
-    static final double UNUSUAL = 6;
+    static final double FIRST_TOKEN_TIMEOUT = 0.5;
+    static final double FIRST_TOKEN_OUTLIER = 6;
 
     private long stopAt(Task task) {
         boolean early = task.type.effect() == Effect.SAFE && task.attempts.size() == 1
                 && retryCredit >= 1 && ready > 1;
-        double patience = Math.max(PATIENCE * task.aim, UNUSUAL * usualLag);
+        double patience = Math.max(FIRST_TOKEN_TIMEOUT * task.aim, FIRST_TOKEN_OUTLIER * usualLag);
         return early && patience < task.lastUse - now ? now + (long) patience : task.lastUse;
     }
 
@@ -893,7 +896,8 @@
                 || outcome == Outcome.CONNECT_FAILED || outcome == Outcome.STALLED && streaming) {
             node.stalls += outcome == Outcome.STALLED ? 2 : 0;
             node.failures = Math.max(node.failures + 1, node.stalls);
-            if (outcome == Outcome.CONNECT_FAILED && (node.failures == 1 || lostCount >= LOST)) {
+            boolean counts = node.failures == 1 || lostCount >= LOST_ZONE_FAILURES;
+            if (outcome == Outcome.CONNECT_FAILED && counts) {
                 lostCount = node.zone == lostZone ? lostCount + 1 : 1;
                 lostZone = node.zone;
                 lostUntil = now + SECOND;
@@ -905,16 +909,17 @@
     }
 
     /**
-     * Lost zone: its replicas would each have to fail to connect once, at every router. When LOST of them
-     * have and none has answered since, all are walked past but for a try a second; an answer ends it.
+     * Lost zone: its replicas would each have to fail to connect once, at every router. When
+     * LOST_ZONE_FAILURES of them have and none has answered since, all are walked past but for a try a
+     * second; an answer ends it.
      */
-    static final int LOST = 3;
+    static final int LOST_ZONE_FAILURES = 3;
     private int lostZone = -1;
     private int lostCount;
     private long lostUntil;
 
     private boolean lost(Node node) {
-        return zones > 1 && lostCount >= LOST && node.zone == lostZone && now < lostUntil;
+        return zones > 1 && lostCount >= LOST_ZONE_FAILURES && node.zone == lostZone && now < lostUntil;
     }
 
     // ---- Timers ---------------------------------------------------------------------------------------
--- a/node/src/main/java/fawnlb/probation/Probation.java
+++ b/node/src/main/java/fawnlb/probation/Probation.java
@@ -18,7 +18,7 @@
 import java.util.stream.Collectors;
 
 /**
- * How far a remembered list is believed until discovery is heard again. Every target of it counts as cold until it
+ * How far a remembered list is believed until discovery is heard again. Every backend of it counts as cold until it
  * has answered: it may hold a few requests of this node that wait for their first token and no more, and sends to it
  * are so paced by its own answers. Requests that run count for nothing, since they are no new work.
  *
@@ -31,12 +31,12 @@
  *   any --named by discovery, or left out--> gone from here
  * </pre>
  *
- * <p>The weight of a memory halves with each half-life of its age. The sum of the weights is how many targets are
+ * <p>The weight of a memory halves with each half-life of its age. The sum of the weights is how many backends are
  * expected to be there still, and so many may be tried at once, the latest heard of first. What discovery says wins
  * at once.
  */
 public final class Probation implements View {
-    /** A target on probation. */
+    /** A backend on probation. */
     public enum State { REMEMBERED, PROVING, PROVEN, DOUBTED }
 
     /** The weight of a memory whose age is not known. */
@@ -54,7 +54,7 @@
     private Listed empty;
     private long emptyUntil = NEVER;
     /**
-     * Discovery has been asked and has neither answered nor failed. Until then no remembered target is tried: the address of
+     * Discovery has been asked and has neither answered nor failed. Until then no remembered backend is tried: the address of
      * one may belong to another by now, and a node may send only to what its list has named.
      */
     private boolean awaitsWord;
@@ -62,15 +62,15 @@
 
     /**
      * Times in nanoseconds. {@code halfLife}: after which a memory weighs half; {@code proofs}: answers that prove a
-     * target; {@code settle}: from the first answer until it may count as warm; {@code waiting}: requests that may
-     * await their first token at one unproven target, from all nodes together; {@code routers}: how many nodes;
-     * {@code atOnce}: targets that may be tried at once at least; {@code doubt}, {@code longestDoubt}: how long a
-     * target is left alone after a failure, doubled with each up to the longest; {@code hold}: how long an empty list
-     * is not believed while targets are held, 0 to believe it at once.
+     * backend; {@code settle}: from the first answer until it may count as warm; {@code waiting}: requests that may
+     * await their first token at one unproven backend, from all nodes together; {@code routers}: how many nodes;
+     * {@code atOnce}: backends that may be tried at once at least; {@code doubt}, {@code longestDoubt}: how long a
+     * backend is left alone after a failure, doubled with each up to the longest; {@code hold}: how long an empty list
+     * is not believed while backends are held, 0 to believe it at once.
      */
     public record Rules(long halfLife, int proofs, long settle, int waiting, int routers, int atOnce, long doubt,
                         long longestDoubt, long hold) {
-        /** This node's part of what all nodes may have waiting at an unproven target. */
+        /** This node's part of what all nodes may have waiting at an unproven backend. */
         int part() {
             return Math.max(1, waiting / Math.max(1, routers));
         }
@@ -94,7 +94,7 @@
         }
     }
 
-    /** Heard: when each target was last listed or answered, in nanoseconds on the host's clock; 0 or absent if unknown. */
+    /** Heard: when each backend was last listed or answered, in nanoseconds on the host's clock; 0 or absent if unknown. */
     public Probation(Rules rules, long seed, Map<Long, Long> heard, Consumer<String> log) {
         this.rules = rules;
         this.seed = seed;
@@ -184,7 +184,7 @@
         emptyUntil = NEVER;
     }
 
-    // ---- What the targets do --------------------------------------------------------------------------
+    // ---- What the backends do --------------------------------------------------------------------------
 
     @Override
     public Listed seen(long now, Event event) {
@@ -218,7 +218,7 @@
         }
         boolean counts = switch (outcome) {
             case CONNECT_FAILED -> true;
-            // A proven target's health is the module's business; only one that went away may come back cold.
+            // A proven backend's health is the module's business; only one that went away may come back cold.
             case ERROR, RESET, TIMEOUT, FULL, STALLED -> box.state != State.PROVEN;
             case SERVED, CANCELLED, NEVER_SENT -> false;
         };
@@ -274,7 +274,7 @@
         return changed.isEmpty() ? null : new Listed(ListKind.VIEW, 0, changed);
     }
 
-    /** Lets targets be tried, the likeliest first, while fewer are being tried without an answer than may be. */
+    /** Lets backends be tried, the likeliest first, while fewer are being tried without an answer than may be. */
     private void admit(long now) {
         if (awaitsWord) {
             return;
@@ -299,7 +299,7 @@
         return box.replica.withRoom(box.shown);
     }
 
-    /** How many of this node's requests may await their first token at the target. */
+    /** How many of this node's requests may await their first token at the backend. */
     private int room(Box box) {
         return switch (box.state) {
             case REMEMBERED, DOUBTED -> 0;
@@ -310,23 +310,23 @@
     }
 
     /** The weight of a memory: two to the power of minus its age in half-lives. A time to come tells no age. */
-    double weight(long now, long target) {
-        long at = heard.getOrDefault(target, 0L);
+    double weight(long now, long backend) {
+        long at = heard.getOrDefault(backend, 0L);
         return at <= 0 || at > now ? UNKNOWN_AGE : Math.pow(2, -(now - at) / (double) rules.halfLife());
     }
 
-    /** Targets in this state. */
+    /** Backends in this state. */
     public long count(State state) {
         return boxes.values().stream().filter(box -> box.state == state).count();
     }
 
-    /** Where a target stands, null if it is not on probation. */
-    public State state(long target) {
-        Box box = boxes.get(target);
+    /** Where a backend stands, null if it is not on probation. */
+    public State state(long backend) {
+        Box box = boxes.get(backend);
         return box == null ? null : box.state;
     }
 
-    /** The finalizer of SplitMix64 (Steele, Lea, Flood 2014): nodes with other seeds begin with other targets. */
+    /** The finalizer of SplitMix64 (Steele, Lea, Flood 2014): nodes with other seeds begin with other backends. */
     private static long mix(long x) {
         long z = (x ^ (x >>> 30)) * 0xbf58476d1ce4e5b9L;
         z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
--- a/node/src/main/java/fawnlb/snapshot/Snapshot.java
+++ b/node/src/main/java/fawnlb/snapshot/Snapshot.java
@@ -4,15 +4,15 @@
 import java.util.List;
 
 /**
- * The list of targets as a node remembers it. {@code savedAt}: when it was written, in milliseconds since the Unix
+ * The list of backends as a node remembers it. {@code savedAt}: when it was written, in milliseconds since the Unix
  * epoch by the wall clock of the node that wrote it; {@code revision}: discovery's, of the last news in it.
  */
 public record Snapshot(long savedAt, long revision, List<Entry> entries) {
 
-    /** A target: when discovery last named it and when it last answered, in milliseconds since the epoch, 0 for never. */
+    /** A backend: when discovery last named it and when it last answered, in milliseconds since the epoch, 0 for never. */
     public record Entry(Member member, long listedAt, long answeredAt) {
 
-        /** The last sign that the target was there, whoever gave it. */
+        /** The last sign that the backend was there, whoever gave it. */
         public long heardAt() {
             return Math.max(listedAt, answeredAt);
         }
--- a/node/src/main/java/fawnlb/snapshot/SnapshotCodec.java
+++ b/node/src/main/java/fawnlb/snapshot/SnapshotCodec.java
@@ -17,12 +17,12 @@
 /**
  * A snapshot's bytes: the magic {@code FWNL}, a version of two bytes, the body's length in four, the body, and the
  * CRC-32C (RFC 3720, appendix B.4) of all before it in four; numbers are big-endian. The body is CBOR (RFC 8949):
- * a map in which each target is written as discovery's own form with the two times beside it.
+ * a map in which each backend is written as discovery's own form with the two times beside it.
  */
 public final class SnapshotCodec {
     /** Raised when a reader of the former version would misread the file. */
     static final int VERSION = 1;
-    /** A list of ten thousand targets takes about 2 MB; what claims more than this is not a list. */
+    /** A list of ten thousand backends takes about 2 MB; what claims more than this is not a list. */
     static final int MOST_BYTES = 16 << 20;
     private static final int MAGIC = 0x46574e4c;
     private static final int HEAD = 10;
--- a/node/src/main/java/fawnlb/stream/End.java
+++ b/node/src/main/java/fawnlb/stream/End.java
@@ -2,29 +2,29 @@
 
 import fawnlb.decision.Balancer.Outcome;
 
-/** How a forward and its stream can end: its name, and what the decision module hears of it. */
+/** How an attempt and its stream can end: its name, and what the decision module hears of it. */
 public enum End {
     /** The answer is whole, and the client has all of it. */
     WHOLE("whole", Outcome.SERVED, false),
-    /** The target finds the request itself wrong, and its words went to the client. */
+    /** The backend finds the request itself wrong, and its words went to the client. */
     REJECTED("rejected", Outcome.SERVED, false),
-    /** The target did not take the request. */
+    /** The backend did not take the request. */
     TURNED_AWAY("turned-away", Outcome.FULL, false),
-    /** The target answered with an error. */
+    /** The backend answered with an error. */
     FAILED("failed", Outcome.ERROR, false),
     /** No connection came up, or it broke before the request's last byte. */
     NOT_CONNECTED("not-connected", Outcome.CONNECT_FAILED, false),
     /** The request was not sent, for a reason of the node's own. */
     NOT_SENT("not-sent", Outcome.NEVER_SENT, false),
-    /** The target's connection stayed open and said nothing for longer than is believed. */
+    /** The backend's connection stayed open and said nothing for longer than is believed. */
     STALLED("stalled", Outcome.STALLED, true),
-    /** The target's connection was closed or reset. */
+    /** The backend's connection was closed or reset. */
     BROKEN("broken", Outcome.RESET, true),
-    /** What the target sent can't be read, or is longer than is kept. */
+    /** What the backend sent can't be read, or is longer than is kept. */
     UNREADABLE("unreadable", Outcome.RESET, true),
     /** The framing ended, the answer did not. */
     CUT_SHORT("cut-short", Outcome.RESET, true),
-    /** The time set for the forward was up. */
+    /** The time set for the attempt was up. */
     OUT_OF_TIME("out-of-time", Outcome.TIMEOUT, false),
     /** The node stopped waiting for it. */
     CALLED_OFF("called-off", Outcome.CANCELLED, false),
--- a/node/src/main/java/fawnlb/stream/Ending.java
+++ b/node/src/main/java/fawnlb/stream/Ending.java
@@ -15,7 +15,7 @@
         return end.placed() ? end.word() + '-' + place.word() : end.word();
     }
 
-    /** Whether the target said nothing in time, rather than something wrong. */
+    /** Whether the backend said nothing in time, rather than something wrong. */
     public boolean isLate() {
         return end == End.STALLED || end == End.OUT_OF_TIME;
     }
--- a/node/src/main/java/fawnlb/stream/Life.java
+++ b/node/src/main/java/fawnlb/stream/Life.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * The life of a forward and its stream as a table: each signal that can come in a state has one place in it. The
- * target's side and the client's side are told to it in the order in which they are seen; a pair that the table
+ * The life of an attempt and its stream as a table: each signal that can come in a state has one place in it. The
+ * backend's side and the client's side are told to it in the order in which they are seen; a pair that the table
  * lacks can't come, and changes nothing if it does.
  */
 public final class Life {
--- a/node/src/main/java/fawnlb/stream/Rules.java
+++ b/node/src/main/java/fawnlb/stream/Rules.java
@@ -9,7 +9,7 @@
  *     gap and this have passed
  * @param mostSilence and never kept for a longer one while its reader is ready
  * @param leastWait a first event is waited for so long at least, whatever is usual
- * @param majority a silence that this share of the targets with streams has in common is the fleet's, not the target's
+ * @param majority a silence that this share of the backends with streams has in common is the fleet's, not the backend's
  * @param readerPatience a reader that takes no byte for so long is left
  * @param mostHeld bytes that may be held for all streams together
  */
@@ -17,7 +17,7 @@
                     double majority, long readerPatience, long mostHeld) {
     private static final long MS = 1_000_000;
 
-    /** What holds where no file says otherwise: clients are left waiting at most 5 s after a target's last event. */
+    /** What holds where no file says otherwise: clients are left waiting at most 5 s after a backend's last event. */
     public static Rules standard() {
         return new Rules(true, 5, 3000 * MS, 4500 * MS, 500 * MS, 0.6, 20_000 * MS, 16L << 20);
     }
--- a/node/src/main/java/fawnlb/stream/Signal.java
+++ b/node/src/main/java/fawnlb/stream/Signal.java
@@ -1,6 +1,6 @@
 package fawnlb.stream;
 
-/** What can happen to a forward and its stream. */
+/** What can happen to an attempt and its stream. */
 public enum Signal {
     /** The head of an answer was read. */
     ANSWER("a head with an answer"),
@@ -26,7 +26,7 @@
     GIVEN_UP("the reader is given up"),
     /** The answer is whole. */
     LAST("the last byte"),
-    /** The forward is over and gives the client nothing more: its end says why. */
+    /** The attempt is over and gives the client nothing more: its end says why. */
     OVER("the target's side is over"),
     /** The client's side is over. */
     CLOSED("the client's side is over");
--- a/node/src/main/java/fawnlb/stream/State.java
+++ b/node/src/main/java/fawnlb/stream/State.java
@@ -1,6 +1,6 @@
 package fawnlb.stream;
 
-/** Where a forward and its stream stand. */
+/** Where an attempt and its stream stand. */
 public enum State {
     /** Sent, or about to be: nothing of an answer has been read. */
     HEAD("waiting for the head"),
@@ -12,13 +12,13 @@
     FLOWING("flowing"),
     /** Silent for longer than is usual, and not yet given up. */
     STALLED("stalled"),
-    /** The client has not taken all of the last piece; the target is not read from. */
+    /** The client has not taken all of the last piece; the backend is not read from. */
     READER_SLOW("reader slow"),
     /** The client has taken no byte for a second. */
     READER_STOPPED("reader stopped"),
     /** All of the answer is here; the client has yet to take the rest. */
     LAST_PIECE("last piece"),
-    /** The target's side is over before the answer is whole; the client is being told. */
+    /** The backend's side is over before the answer is whole; the client is being told. */
     BROKEN("broken"),
     /** Over for both sides. */
     ENDED("ended");
--- a/node/src/main/java/fawnlb/stream/Stream.java
+++ b/node/src/main/java/fawnlb/stream/Stream.java
@@ -1,7 +1,7 @@
 package fawnlb.stream;
 
 /**
- * One forward and its stream, from its sending until neither side is owed anything. Whoever carries it out tells it
+ * One attempt and its stream, from its sending until neither side is owed anything. Whoever carries it out tells it
  * what happens and wakes it at {@link #wakeAt}; what it decides reaches its owner.
  */
 public final class Stream {
@@ -18,7 +18,7 @@
     private static final int ROOM_FOR_ANOTHER = 2;
 
     private final Streams all;
-    private final long target;
+    private final long backend;
     private final double promptTokens;
     private final long sentAt;
     private final long until;
@@ -39,10 +39,10 @@
     private long gaveUpAt;
     private long promised = NEVER;
 
-    Stream(Streams all, long target, double promptTokens, long now, long until, boolean again, boolean events,
+    Stream(Streams all, long backend, double promptTokens, long now, long until, boolean again, boolean events,
            Streams.Owner owner) {
         this.all = all;
-        this.target = target;
+        this.backend = backend;
         this.promptTokens = promptTokens;
         this.sentAt = now;
         this.heardAt = now;
@@ -53,15 +53,15 @@
         this.waiting = true;
     }
 
-    long target() {
-        return target;
+    long backend() {
+        return backend;
     }
 
     public State state() {
         return state;
     }
 
-    /** Null until the target's side or the client's has ended it. */
+    /** Null until the backend's side or the client's has ended it. */
     public Ending ending() {
         return ending;
     }
@@ -84,7 +84,7 @@
         }
     }
 
-    // ---- The target's side ----------------------------------------------------------------------------
+    // ---- The backend's side ----------------------------------------------------------------------------
 
     /** A head was read; with an answer, or with none. */
     public void head(long now, boolean answer) {
@@ -106,9 +106,9 @@
     /** Bytes for the client came: none are waited for until it has taken them. */
     public void piece(long now, int bytes) {
         if (events && place != Place.MIDWAY) {
-            all.usual().wait(target, promptTokens, now - sentAt);
+            all.usual().wait(backend, promptTokens, now - sentAt);
         } else if (events) {
-            all.usual().gap(target, now - heardAt);
+            all.usual().gap(backend, now - heardAt);
         }
         place = Place.MIDWAY;
         heard(now);
@@ -137,7 +137,7 @@
         all.holds(this, change);
     }
 
-    /** The answer is whole and on its way to the client; {@code end}: it may be the target's own refusal. */
+    /** The answer is whole and on its way to the client; {@code end}: it may be the backend's own refusal. */
     public void last(End how) {
         end(how);
         waiting = false;
@@ -148,7 +148,7 @@
         }
     }
 
-    /** The target's side is over and gives the client nothing more. */
+    /** The backend's side is over and gives the client nothing more. */
     public void over(End how) {
         if (state == State.LAST_PIECE || state == State.ENDED) {
             return;
@@ -156,7 +156,7 @@
         end(how);
         waiting = false;
         if (how == End.STALLED && events && place != Place.MIDWAY && gaveUpAt > 0) {
-            all.usual().waitedInVain(target, promptTokens, gaveUpAt - sentAt);
+            all.usual().waitedInVain(backend, promptTokens, gaveUpAt - sentAt);
         }
         on(Signal.OVER);
         if (place != Place.MIDWAY) {
@@ -166,7 +166,7 @@
 
     // ---- The client's side ----------------------------------------------------------------------------
 
-    /** The client took all that was held for it, and the target is waited for from now on. */
+    /** The client took all that was held for it, and the backend is waited for from now on. */
     public void took(long now) {
         heard(now);
         behind = false;
@@ -205,7 +205,7 @@
     private void giveUp(End how, Signal signal) {
         end(how);
         if (ending.end() != how) {
-            // The target's side was over; the client's is over now.
+            // The backend's side was over; the client's is over now.
             ending = new Ending(how, place);
         }
         waiting = false;
@@ -226,7 +226,7 @@
         if (state == State.ENDED || state == State.BROKEN) {
             return NEVER;
         }
-        return Math.max(notBefore, behind ? readerDueAt() : waiting ? targetDueAt() : NEVER);
+        return Math.max(notBefore, behind ? readerDueAt() : waiting ? backendDueAt() : NEVER);
     }
 
     private long readerDueAt() {
@@ -234,7 +234,7 @@
         return tookAt + (state == State.READER_SLOW ? Math.min(IDLE, patience / 2) : patience);
     }
 
-    private long targetDueAt() {
+    private long backendDueAt() {
         return switch (state) {
             case TURNED_AWAY -> NEVER;
             case STALLED -> cutAt();
@@ -246,7 +246,7 @@
     private long cutAt() {
         Rules rules = all.rules();
         if (place == Place.MIDWAY) {
-            return heardAt + (all.common() ? rules.mostSilence() : all.allowedGap(target));
+            return heardAt + (all.common() ? rules.mostSilence() : all.allowedGap(backend));
         }
         // What follows a head is due soon, whatever is usual; what precedes it has the time that the module gave it.
         long latest = place == Place.BEFORE_EVENT ? heardAt + rules.mostSilence() : NEVER;
@@ -264,7 +264,7 @@
     }
 
     private long firstUnusualAt() {
-        long usual = all.usual().wait(target, promptTokens, all.rules().suspicion());
+        long usual = all.usual().wait(backend, promptTokens, all.rules().suspicion());
         return usual >= NEVER - sentAt ? NEVER : sentAt + Math.max(all.rules().leastWait(), usual);
     }
 
@@ -275,7 +275,7 @@
         if (place != Place.MIDWAY) {
             return firstUnusualAt();
         }
-        long usual = all.usual().gap(target, all.rules().suspicion());
+        long usual = all.usual().gap(backend, all.rules().suspicion());
         return usual >= NEVER - heardAt ? NEVER : heardAt + usual;
     }
 
--- a/node/src/main/java/fawnlb/stream/Streams.java
+++ b/node/src/main/java/fawnlb/stream/Streams.java
@@ -20,8 +20,8 @@
     private final Map<Long, Record> records = new HashMap<>();
     /** Those whose readers lag, the one that has taken nothing for longest first. */
     private final Set<Stream> lagging = new LinkedHashSet<>();
-    private int targetsWithStreams;
-    private int targetsStalled;
+    private int backendsWithStreams;
+    private int backendsStalled;
     private long held;
 
     /** Whoever carries a stream out. */
@@ -29,11 +29,11 @@
         /** The stream is to end so, now. */
         void end(End end);
 
-        /** The reader has stopped: for as long as it has, the stream is no work for its target. Told once. */
+        /** The reader has stopped: for as long as it has, the stream is no work for its backend. Told once. */
         void parked();
     }
 
-    /** What is kept of one target while it is listed or has streams. */
+    /** What is kept of one backend while it is listed or has streams. */
     private static final class Record {
         private final Map<State, Integer> states = new EnumMap<>(State.class);
         private final Map<String, Long> ends = new TreeMap<>();
@@ -48,34 +48,34 @@
     }
 
     /**
-     * A forward begins.
+     * An attempt begins.
      *
      * @param promptTokens as the client told, 0 if it did not
      * @param until when its time is up
      * @param again whether another attempt could follow it
      * @param events whether the answer comes as events, or whole and unannounced
      */
-    public Stream open(long now, long target, double promptTokens, long until, boolean again, boolean events, Owner owner) {
-        Record record = records.computeIfAbsent(target, key -> new Record());
+    public Stream open(long now, long backend, double promptTokens, long until, boolean again, boolean events, Owner owner) {
+        Record record = records.computeIfAbsent(backend, key -> new Record());
         record.gone = false;
-        targetsWithStreams += record.open++ == 0 ? 1 : 0;
+        backendsWithStreams += record.open++ == 0 ? 1 : 0;
         count(record, State.HEAD, 1);
-        return new Stream(this, target, promptTokens, now, until, again, events, owner);
+        return new Stream(this, backend, promptTokens, now, until, again, events, owner);
     }
 
-    /** The target is listed no more; what is known of it goes with its last stream. */
-    public void gone(long target) {
-        Record record = records.get(target);
+    /** The backend is listed no more; what is known of it goes with its last stream. */
+    public void gone(long backend) {
+        Record record = records.get(backend);
         if (record != null) {
             record.gone = true;
-            drop(target, record);
+            drop(backend, record);
         }
     }
 
-    private void drop(long target, Record record) {
+    private void drop(long backend, Record record) {
         if (record.gone && record.open == 0) {
-            records.remove(target);
-            usual.forget(target);
+            records.remove(backend);
+            usual.forget(backend);
         }
     }
 
@@ -87,26 +87,26 @@
         return usual;
     }
 
-    /** Whether so many targets are silent together that it is no fault of one. Two can't be told apart from one. */
+    /** Whether so many backends are silent together that it is no fault of one. Two can't be told apart from one. */
     boolean common() {
-        return targetsStalled > 2 && targetsStalled > rules.majority() * targetsWithStreams;
+        return backendsStalled > 2 && backendsStalled > rules.majority() * backendsWithStreams;
     }
 
     void moved(Stream stream, State from, State to) {
-        Record record = records.get(stream.target());
+        Record record = records.get(stream.backend());
         count(record, from, -1);
         count(record, to, 1);
         if (from == State.STALLED) {
-            targetsStalled -= --record.stalled == 0 ? 1 : 0;
+            backendsStalled -= --record.stalled == 0 ? 1 : 0;
         }
         if (to == State.STALLED) {
-            targetsStalled += record.stalled++ == 0 ? 1 : 0;
+            backendsStalled += record.stalled++ == 0 ? 1 : 0;
         }
         if (to == State.ENDED) {
             count(record, to, -1);
             record.ends.merge(stream.ending().word(), 1L, Long::sum);
-            targetsWithStreams -= --record.open == 0 ? 1 : 0;
-            drop(stream.target(), record);
+            backendsWithStreams -= --record.open == 0 ? 1 : 0;
+            drop(stream.backend(), record);
         }
     }
 
@@ -117,7 +117,7 @@
     /** So many bytes more, or fewer, are held for a stream. */
     void holds(Stream stream, long change) {
         held += change;
-        Record record = records.get(stream.target());
+        Record record = records.get(stream.backend());
         if (record != null) {
             record.held += change;
         }
@@ -154,29 +154,29 @@
         return held;
     }
 
-    /** Forwards that are out, or whose client has yet to take the rest. */
+    /** Attempts that are out, or whose client has yet to take the rest. */
     public int open() {
         return records.values().stream().mapToInt(record -> record.open).sum();
     }
 
-    /** Of each target that is listed or has streams. */
+    /** Of each backend that is listed or has streams. */
     public List<Figures> figures() {
         List<Figures> all = new ArrayList<>();
-        new TreeMap<>(records).forEach((target, record) -> {
+        new TreeMap<>(records).forEach((backend, record) -> {
             Map<State, Integer> states = new EnumMap<>(record.states);
             states.values().removeIf(n -> n == 0);
-            all.add(new Figures(target, record.open, states, new TreeMap<>(record.ends), allowedGap(target), record.held));
+            all.add(new Figures(backend, record.open, states, new TreeMap<>(record.ends), allowedGap(backend), record.held));
         });
         return all;
     }
 
     /** Nanoseconds of silence between events after which a stream is given up. */
-    long allowedGap(long target) {
+    long allowedGap(long backend) {
         if (!rules.learned()) {
             return rules.mostSilence();
         }
         // A pause of a box falls into a gap that would have been there anyhow.
         return Math.min(rules.mostSilence(),
-                rules.pause() + Math.min(rules.mostSilence(), usual.gap(target, rules.suspicion())));
+                rules.pause() + Math.min(rules.mostSilence(), usual.gap(backend, rules.suspicion())));
     }
 }
--- a/node/src/main/java/fawnlb/stream/Usual.java
+++ b/node/src/main/java/fawnlb/stream/Usual.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * What is usual for the gaps between events and for the wait for the first one, by target and by the fleet. A wait is
- * held against the middle one of prompts of its length, so that a target that reads long prompts does not look slow.
+ * What is usual for the gaps between events and for the wait for the first one, by backend and by the fleet. A wait is
+ * held against the middle one of prompts of its length, so that a backend that reads long prompts does not look slow.
  * Times are nanoseconds.
  */
 final class Usual {
@@ -16,10 +16,10 @@
     private static final int LENGTHS = 20;
     private static final double MEDIAN_STEP = 0.1;
 
-    private final Map<Long, Own> targets = new HashMap<>();
+    private final Map<Long, Own> backends = new HashMap<>();
     private final Excess gapExcess = new Excess();
     private final Excess waitExcess = new Excess();
-    /** All targets as if they were one, with a shape of its own: it holds their differences too. */
+    /** All backends as if they were one, with a shape of its own: it holds their differences too. */
     private final Own fleet = new Own(new Excess(), new Excess());
     private final double[] middle = new double[LENGTHS];
 
@@ -33,31 +33,31 @@
         }
     }
 
-    private Own own(long target) {
-        return targets.computeIfAbsent(target, key -> new Own(gapExcess, waitExcess));
+    private Own own(long backend) {
+        return backends.computeIfAbsent(backend, key -> new Own(gapExcess, waitExcess));
     }
 
-    void gap(long target, long nanos) {
-        own(target).gaps.add(nanos);
+    void gap(long backend, long nanos) {
+        own(backend).gaps.add(nanos);
         fleet.gaps.add(nanos);
     }
 
     /** A first event came after so long. */
-    void wait(long target, double promptTokens, long nanos) {
+    void wait(long backend, double promptTokens, long nanos) {
         int length = length(promptTokens);
         double log = Math.log(Math.max(1, nanos));
         middle[length] = middle[length] == 0 ? log : middle[length] + Math.signum(log - middle[length]) * MEDIAN_STEP;
         double ratio = nanos / Math.exp(middle[length]);
-        own(target).waits.add(ratio);
+        own(backend).waits.add(ratio);
         fleet.waits.add(ratio);
     }
 
     /** A wait was given up after so long: without it, what is usual would shrink to what is allowed. */
-    void waitedInVain(long target, double promptTokens, long nanos) {
+    void waitedInVain(long backend, double promptTokens, long nanos) {
         int length = length(promptTokens);
         if (middle[length] != 0) {
             double ratio = nanos / Math.exp(middle[length]);
-            own(target).waits.atLeast(ratio);
+            own(backend).waits.atLeast(ratio);
             fleet.waits.atLeast(ratio);
         }
     }
@@ -68,14 +68,14 @@
     }
 
     /** The gap that is exceeded with probability {@code 10^-phi}, {@link Long#MAX_VALUE} while that is not known. */
-    long gap(long target, double phi) {
-        Own own = targets.get(target);
+    long gap(long backend, double phi) {
+        Own own = backends.get(backend);
         return (long) either(own == null ? null : own.gaps, fleet.gaps, phi);
     }
 
     /** The same for the wait for the first event; of a prompt of a length not met yet nothing is known either. */
-    long wait(long target, double promptTokens, double phi) {
-        Own own = targets.get(target);
+    long wait(long backend, double promptTokens, double phi) {
+        Own own = backends.get(backend);
         long typical = typicalWait(promptTokens);
         return typical == 0 ? Long.MAX_VALUE
                 : (long) Math.min(Long.MAX_VALUE, typical * either(own == null ? null : own.waits, fleet.waits, phi));
@@ -87,7 +87,7 @@
         return log == 0 ? 0 : (long) Math.exp(log);
     }
 
-    /** What the target has shown to be usual, and at the least what is ordinary among all. */
+    /** What the backend has shown to be usual, and at the least what is ordinary among all. */
     private static double either(UpperTail own, UpperTail all, double phi) {
         if (all.seen() < ENOUGH) {
             return Long.MAX_VALUE;
@@ -96,7 +96,7 @@
                 : Math.max(own.exceededBy(phi), all.exceededBy(Math.min(phi, ORDINARY)));
     }
 
-    void forget(long target) {
-        targets.remove(target);
+    void forget(long backend) {
+        backends.remove(backend);
     }
 }
--- a/node/src/main/java/fawnlb/wire/WireHost.java
+++ b/node/src/main/java/fawnlb/wire/WireHost.java
@@ -1,12 +1,12 @@
 package fawnlb.wire;
 
+import fawnlb.config.SettingsParser;
 import fawnlb.decision.Balancer;
 import fawnlb.decision.Balancer.ListKind;
 import fawnlb.decision.Balancer.Outcome;
 import fawnlb.decision.Balancer.Phase;
 import fawnlb.decision.Balancer.Replica;
 import fawnlb.policy.Choice;
-import fawnlb.config.SettingsParser;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/node/src/test/java/fawnlb/target/TargetPoolTest.java
+++ b/node/src/test/java/fawnlb/backend/BackendPoolTest.java
@@ -1,4 +1,4 @@
-package fawnlb.target;
+package fawnlb.backend;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
@@ -7,8 +7,8 @@
 import fawnlb.decision.Balancer.Phase;
 import fawnlb.dialect.Dialect;
 import fawnlb.flow.Ask;
+import fawnlb.flow.Backends;
 import fawnlb.flow.Source;
-import fawnlb.flow.Targets;
 import fawnlb.stream.Ending;
 import fawnlb.stream.Rules;
 import fawnlb.stream.Streams;
@@ -32,7 +32,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
-public class TargetPoolTest {
+public class BackendPoolTest {
     private static final int LIVES = 50;
     private static final long SECOND = 1_000_000_000;
 
@@ -40,11 +40,11 @@
     private final XnioIoThread thread;
     private final IoTimers timers;
     private final Streams streams = new Streams(Rules.standard());
-    private final TargetPool pool;
+    private final BackendPool pool;
     private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
     /** Whether the client is still there; asked and set on the I/O thread. */
     private boolean wanted = true;
-    private final Targets.Report report = new Targets.Report() {
+    private final Backends.Report report = new Backends.Report() {
         @Override
         public boolean wanted() {
             return wanted;
@@ -65,11 +65,11 @@
         }
     };
 
-    public TargetPoolTest() throws IOException {
+    public BackendPoolTest() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         thread = worker.getIoThread();
         timers = new IoTimers(thread);
-        pool = new TargetPool(thread, timers, new TargetPool.Limits(SECOND / 4, SECOND, 1, 50, List.of()), streams);
+        pool = new BackendPool(thread, timers, new BackendPool.Limits(SECOND / 4, SECOND, 1, 50, List.of()), streams);
     }
 
     @After
@@ -77,23 +77,23 @@
         worker.shutdownNow();
     }
 
-    private void forward(int id, long sendBy, String named) {
-        forward(id, timers.now() + SECOND, sendBy, named);
+    private void attempt(int id, long sendBy, String named) {
+        attempt(id, timers.now() + SECOND, sendBy, named);
     }
 
-    private void forward(int id, long until, long sendBy, String named) {
-        pool.forward(id, new Ask(0, 0, 1, 0, SECOND, 1, 0, 1, false, new Parcel(Dialect.CHAT, "/", named, null, true,
+    private void attempt(int id, long until, long sendBy, String named) {
+        pool.attempt(id, new Ask(0, 0, 1, 0, SECOND, 1, 0, 1, false, new Parcel(Dialect.CHAT, "/", named, null, true,
                 new byte[2], null, new Parcel.Tally(false))), until, sendBy, true, report);
     }
 
-    /** Long days replace targets all the time: one that left with a forward on its way was kept for good. */
+    /** Long days replace backends all the time: one that left with an attempt on its way was kept for good. */
     @Test
-    public void aTargetThatLeavesWithAForwardOnItsWayIsForgotten() throws Exception {
+    public void aBackendThatLeavesWithAForwardOnItsWayIsForgotten() throws Exception {
         thread.execute(() -> {
             for (int id = 1; id <= LIVES; id++) {
                 InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
                 pool.place(id, address, 0, Phase.READY, Dialect.CHAT);
-                forward(id, Long.MAX_VALUE, "i" + id);
+                attempt(id, Long.MAX_VALUE, "i" + id);
                 pool.place(id, address, 0, Phase.GONE, Dialect.CHAT);
             }
         });
@@ -105,14 +105,14 @@
         assertEquals(0, (int) kept.get(10, TimeUnit.SECONDS));
     }
 
-    /** What becomes of a forward whose connection comes up when this has happened; the next one is what the target reads. */
+    /** What becomes of an attempt whose connection comes up when this has happened; the next one is what the backend reads. */
     private void notSentAfter(long sendBy, boolean stays, Phase... phases) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
             InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
             // All in one turn of the thread: the connect is on its way, and can't come up before its end.
             thread.execute(() -> {
                 pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
-                forward(1, sendBy, "early");
+                attempt(1, sendBy, "early");
                 wanted = stays;
                 for (Phase phase : phases) {
                     pool.place(1, address, 0, phase, Dialect.CHAT);
@@ -122,7 +122,7 @@
             thread.execute(() -> {
                 wanted = true;
                 pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
-                forward(1, Long.MAX_VALUE, "next");
+                attempt(1, Long.MAX_VALUE, "next");
             });
             try (Socket first = server.accept()) {
                 Socket socket = phases.length > 0 && phases[0] == Phase.GONE ? server.accept() : first;
@@ -137,22 +137,22 @@
 
     /** It was decided before the list came, and its connect takes its time: it is not sent behind the grace. */
     @Test
-    public void aForwardThatWaitsForItsConnectionIsNotSentToATargetThatDrains() throws Exception {
+    public void anAttemptThatWaitsForItsConnectionIsNotSentToATargetThatDrains() throws Exception {
         notSentAfter(Long.MAX_VALUE, true, Phase.DRAINING);
     }
 
     @Test
-    public void aForwardThatWaitsForItsConnectionIsNotSentToATargetThatIsGone() throws Exception {
+    public void anAttemptThatWaitsForItsConnectionIsNotSentToATargetThatIsGone() throws Exception {
         notSentAfter(Long.MAX_VALUE, true, Phase.GONE);
     }
 
     @Test
-    public void aForwardIsNotSentWhenItsTimeToBeSentIsOver() throws Exception {
+    public void anAttemptIsNotSentWhenItsTimeToBeSentIsOver() throws Exception {
         notSentAfter(timers.now(), true);
     }
 
     @Test
-    public void aForwardThatWaitsForItsConnectionIsNotSentForAClientThatHasGone() throws Exception {
+    public void anAttemptThatWaitsForItsConnectionIsNotSentForAClientThatHasGone() throws Exception {
         notSentAfter(Long.MAX_VALUE, false);
     }
 
@@ -170,7 +170,7 @@
             InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
             thread.execute(() -> {
                 pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
-                forward(1, timers.now() + SECOND, Long.MAX_VALUE, "late");
+                attempt(1, timers.now() + SECOND, Long.MAX_VALUE, "late");
                 busyFor(SECOND / 5);
             });
             try (Socket socket = server.accept()) {
@@ -191,7 +191,7 @@
             InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
             thread.execute(() -> {
                 pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
-                forward(1, timers.now() + SECOND / 10, Long.MAX_VALUE, "late");
+                attempt(1, timers.now() + SECOND / 10, Long.MAX_VALUE, "late");
                 busyFor(SECOND / 5);
             });
             assertEquals("not-sent", ends.poll(10, TimeUnit.SECONDS));
--- a/node/src/test/java/fawnlb/target/LoadReportTest.java
+++ b/node/src/test/java/fawnlb/backend/LoadReportTest.java
@@ -1,4 +1,4 @@
-package fawnlb.target;
+package fawnlb.backend;
 
 import static org.junit.Assert.assertEquals;
 
--- a/node/src/test/java/fawnlb/cli/DialectMatrixTest.java
+++ b/node/src/test/java/fawnlb/cli/DialectMatrixTest.java
@@ -27,29 +27,29 @@
 import org.junit.runner.RunWith;
 import org.junit.runners.Parameterized;
 
-/** Each client dialect with each target dialect, through every outcome, each of them counted. */
+/** Each client dialect with each backend dialect, through every outcome, each of them counted. */
 @RunWith(Parameterized.class)
 public class DialectMatrixTest {
     private static final String KEY = "x-api-key: k\r\n";
     private final Dialect client;
-    private final Dialect target;
+    private final Dialect backend;
     private final AtomicInteger out = new AtomicInteger();
     private final List<String> log = new ArrayList<>();
     private DatagramSocket collector;
     private StandIn standIn;
     private Rigged rig;
 
-    public DialectMatrixTest(Dialect client, Dialect target) {
+    public DialectMatrixTest(Dialect client, Dialect backend) {
         this.client = client;
-        this.target = target;
+        this.backend = backend;
     }
 
     @Parameterized.Parameters(name = "{0} client, {1} target")
     public static List<Object[]> pairs() {
         List<Object[]> pairs = new ArrayList<>();
         for (Dialect client : Dialect.values()) {
-            for (Dialect target : Dialect.values()) {
-                pairs.add(new Object[] {client, target});
+            for (Dialect backend : Dialect.values()) {
+                pairs.add(new Object[] {client, backend});
             }
         }
         return pairs;
@@ -79,14 +79,14 @@
     private void answer(StandIn.Request request, Socket socket) throws Exception {
         out.incrementAndGet();
         try {
-            String first = head(200, CHUNKED) + chunk(begin(target) + text(target, "Hel"));
+            String first = head(200, CHUNKED) + chunk(begin(backend) + text(backend, "Hel"));
             switch (request.id().replaceAll("-.*", "")) {
-                case "served" -> write(socket, first + chunk(text(target, "lo") + end(target)) + "0\r\n\r\n");
-                case "mixed" -> write(socket, head(200, CHUNKED) + chunk("event: sparkle\ndata: {}\n\n" + begin(target)
-                        + text(target, "Hel")) + chunk("event: glitter\ndata: a\ndata: b\n\n" + text(target, "lo") + end(target))
+                case "served" -> write(socket, first + chunk(text(backend, "lo") + end(backend)) + "0\r\n\r\n");
+                case "mixed" -> write(socket, head(200, CHUNKED) + chunk("event: sparkle\ndata: {}\n\n" + begin(backend)
+                        + text(backend, "Hel")) + chunk("event: glitter\ndata: a\ndata: b\n\n" + text(backend, "lo") + end(backend))
                         + "0\r\n\r\n");
                 case "whole" -> {
-                    String body = target == Dialect.CHAT ? "{\"choices\":[{\"message\":{\"content\":\"Hello\"}}]}"
+                    String body = backend == Dialect.CHAT ? "{\"choices\":[{\"message\":{\"content\":\"Hello\"}}]}"
                             : "{\"type\":\"message\",\"content\":[{\"type\":\"text\",\"text\":\"Hello\"}]}";
                     write(socket, head(200, "Content-Length: " + body.length() + "\r\n") + body);
                 }
@@ -126,7 +126,7 @@
                 + collector.getLocalPort() + "\"},\"teams\":[{\"name\":\"t\",\"key\":\"k\",\"classes\":[\"chat\",\"strict\"],"
                 + "\"models\":[\"m\"],\"deadline-ms\":3000,\"budget\":{\"requests\":12,\"tokens\":1000,\"window-ms\":60000}}]}";
         rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
-                Rigged.member(1, standIn.address(), target == Dialect.CHAT ? "c" : "m", "ready")), broker);
+                Rigged.member(1, standIn.address(), backend == Dialect.CHAT ? "c" : "m", "ready")), broker);
     }
 
     @After
@@ -176,11 +176,11 @@
 
         String mixed = ask("mixed-1");
         assertTrue(mixed, mixed.contains(last(client)));
-        assertEquals("unknown events pass only between speakers of one dialect", client == target, mixed.contains("sparkle"));
-        if (client != target) {
+        assertEquals("unknown events pass only between speakers of one dialect", client == backend, mixed.contains("sparkle"));
+        if (client != backend) {
             assertEquals(events(served), events(mixed));
         } else {
-            assertTrue(served, events(served).contains(text(target, "Hel") + text(target, "lo") + end(target)));
+            assertTrue(served, events(served).contains(text(backend, "Hel") + text(backend, "lo") + end(backend)));
         }
 
         String whole = ask("whole-1");
@@ -198,7 +198,7 @@
 
         String bad = ask("bad-1");
         assertTrue(bad, bad.startsWith("HTTP/1.1 400") && bad.contains("prompt is too long"));
-        assertTrue(bad, client == target || bad.contains("invalid_request_error"));
+        assertTrue(bad, client == backend || bad.contains("invalid_request_error"));
 
         String broken = ask("broken-1");
         assertTrue(broken, broken.contains("Hel"));
@@ -207,7 +207,7 @@
         assertTrue(broken, broken.contains("data: {" + (client == Dialect.MESSAGES ? "\"type\":\"error\"," : "")
                 + "\"error\":{\"type\":\"api_error\""));
         String half = ask("half-1");
-        assertEquals("behind half an event no other is put", client != target, half.contains("\"error\":{"));
+        assertEquals("behind half an event no other is put", client != backend, half.contains("\"error\":{"));
         assertFalse(half, half.contains("\r\n0\r\n") || half.contains(last(client)));
         String wholeHalf = ask("wholehalf-1");
         assertTrue(wholeHalf, wholeHalf.startsWith("HTTP/1.1 502") && !wholeHalf.contains("choices"));
@@ -233,7 +233,7 @@
     }
 
     @Test
-    public void outsideContractOrOverBudgetIsAnsweredBeforeAnyForward() throws Exception {
+    public void outsideContractOrOverBudgetIsAnsweredBeforeAnyAttempt() throws Exception {
         String body = request("x");
         String[][] cases = {
             {body.replace(KEY, ""), "401", "authentication_error"}, {body.replace(KEY, "x-api-key: wrong\r\n"), "401", "no team"},
--- a/node/src/test/java/fawnlb/cli/JarIT.java
+++ b/node/src/test/java/fawnlb/cli/JarIT.java
@@ -56,11 +56,11 @@
     }
 
     @Test
-    public void theSecondFrontServesATeamFromAChatTarget() throws Exception {
-        try (StandIn target = new StandIn((request, socket) -> write(socket, head(200, CHUNKED)
+    public void theSecondFrontServesATeamFromAChatBackend() throws Exception {
+        try (StandIn backend = new StandIn((request, socket) -> write(socket, head(200, CHUNKED)
                 + chunk("data: {\"choices\":[{\"delta\":{\"content\":\"Hi\"}}]}\n\ndata: [DONE]\n\n") + "0\r\n\r\n"))) {
             Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
-                    Rigged.member(1, target.address(), "c", "ready")));
+                    Rigged.member(1, backend.address(), "c", "ready")));
             Path broker = Rigged.file(Files.readString(Path.of("../examples/messages.json")).replace(":9100", ":0")
                     .replace("advisor-chat", "chat"));
             Process node = start("serve", "--config", config.toString(), "--broker", broker.toString());
@@ -77,11 +77,11 @@
         }
     }
 
-    /** A discovery that lists the one target, and keeps its watch open. */
-    private static StandIn discovery(int revision, StandIn target) throws IOException {
+    /** A discovery that lists the one backend, and keeps its watch open. */
+    private static StandIn discovery(int revision, StandIn backend) throws IOException {
         return new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED) + chunk("{\"revision\":" + revision + ",\"complete\":true,\"members\":["
-                    + Rigged.member(revision, target.address(), "c", "ready") + "]}\n"));
+                    + Rigged.member(revision, backend.address(), "c", "ready") + "]}\n"));
             socket.getInputStream().read();
         });
     }
@@ -130,14 +130,14 @@
     public void aPlannedEndAnswersWhatWasTaken() throws Exception {
         CountDownLatch ending = new CountDownLatch(1);
         CountDownLatch begun = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED) + chunk("data: a\n\n"));
             begun.countDown();
             ending.await(10, TimeUnit.SECONDS);
             write(socket, chunk("data: [DONE]\n\n") + "0\r\n\r\n");
         })) {
             Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
-                    Rigged.member(1, target.address(), "c", "ready")));
+                    Rigged.member(1, backend.address(), "c", "ready")));
             Process node = start("serve", "--config", config.toString());
             try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream()));
                  Socket client = connect(log, "serves on")) {
--- a/node/src/test/java/fawnlb/cli/LongDaysIT.java
+++ b/node/src/test/java/fawnlb/cli/LongDaysIT.java
@@ -66,7 +66,7 @@
     }
 
     /**
-     * As many heads as clients may have open that never end, beside as many of the longest bodies as targets that do not
+     * As many heads as clients may have open that never end, beside as many of the longest bodies as backends that do not
      * read leave waiting: together they were more than the heap, and the process ended with status 3.
      */
     @Test
@@ -141,13 +141,13 @@
     @Test
     public void theLogGoesOnToTheEndAndSaysWhatIsIgnored() throws Exception {
         CountDownLatch ending = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED) + chunk("data: a\n\n"));
             ending.await(10, TimeUnit.SECONDS);
             write(socket, chunk("data: [DONE]\n\n") + "0\r\n\r\n");
         })) {
             Path config = Rigged.file(Rigged.config("automatic", "127.0.0.1:1",
-                    Rigged.member(1, target.address(), "c", "ready")));
+                    Rigged.member(1, backend.address(), "c", "ready")));
             try (Running node = new Running(Launch.start("serve", "--config", config.toString()));
                  Socket client = connect(node.log, "serves on")) {
                 write(client, Rigged.chat("id", 3000));
--- a/node/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -43,11 +43,11 @@
 
     @Test
     public void requestAndEventsPassUnchanged() throws Exception {
-        try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
+        try (StandIn backend = serving(); Rigged rig = Rigged.with(backend)) {
             String answer = rig.ask(0, chat("id-1", 3000));
             assertTrue(answer, answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n"));
             assertTrue(answer, answer.replaceAll("\r\n[0-9a-f]+\r\n", "").contains(EVENT + ": odd\n\n" + DONE));
-            StandIn.Request seen = target.requests.get(0);
+            StandIn.Request seen = backend.requests.get(0);
             assertEquals("POST /v1/chat/completions?q=1 HTTP/1.1", seen.line());
             assertEquals("{\"a\":1}", seen.body());
             assertEquals("id-1", seen.id());
@@ -56,28 +56,28 @@
         }
     }
 
-    /** Targets know a repeat of a keyed class by it; without it they take none of its requests. */
+    /** Backends know a repeat of a keyed class by it; without it they take none of its requests. */
     @Test
-    public void theKeyByWhichTargetsKnowARepeatIsPassedOn() throws Exception {
-        try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
+    public void theKeyByWhichBackendsKnowARepeatIsPassedOn() throws Exception {
+        try (StandIn backend = serving(); Rigged rig = Rigged.with(backend)) {
             rig.ask(0, chat("id-1", 3000, "idempotency-key: \"a b; c\"\r\n"));
             rig.ask(0, chat("id-2", 3000));
-            assertEquals("\"a b; c\"", target.requests.get(0).headers().get("idempotency-key"));
-            assertFalse(target.requests.get(1).headers().containsKey("idempotency-key"));
+            assertEquals("\"a b; c\"", backend.requests.get(0).headers().get("idempotency-key"));
+            assertFalse(backend.requests.get(1).headers().containsKey("idempotency-key"));
             String twice = rig.ask(0, chat("id-3", 3000, "Idempotency-Key: a\r\n", "Idempotency-Key: b\r\n"));
             assertTrue(twice, twice.startsWith("HTTP/1.1 400") && twice.contains("given more than once"));
-            assertEquals(2, target.requests.size());
+            assertEquals(2, backend.requests.size());
         }
     }
 
     @Test
     public void eventsPassAsTheyCome() throws Exception {
         CountDownLatch seen = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED) + chunk(EVENT));
             seen.await(10, TimeUnit.SECONDS);
             write(socket, chunk(DONE) + "0\r\n\r\n");
-        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+        }); Rigged rig = Rigged.with(backend); Socket client = rig.connect(0)) {
             write(client, chat("id", 3000));
             InputStream in = client.getInputStream();
             while (!StandIn.line(in).startsWith("data: {")) {
@@ -89,36 +89,36 @@
     }
 
     @Test
-    public void connectionsToTargetsAreUsedAgain() throws Exception {
-        try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
+    public void connectionsToBackendsAreUsedAgain() throws Exception {
+        try (StandIn backend = serving(); Rigged rig = Rigged.with(backend)) {
             for (int i = 0; i < 5; i++) {
                 rig.ask(0, chat("id-" + i, 3000));
                 until("nothing open", () -> rig.node.open() == 0);
             }
-            assertEquals(5, target.requests.size());
-            assertEquals(1, target.connections.get());
+            assertEquals(5, backend.requests.size());
+            assertEquals(1, backend.connections.get());
         }
     }
 
     @Test
     public void aBrokenStreamEndsWithoutALastChunk() throws Exception {
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED) + chunk(EVENT));
             socket.close();
-        }); Rigged rig = Rigged.with(target)) {
+        }); Rigged rig = Rigged.with(backend)) {
             String answer = rig.ask(0, chat("id", 3000));
             assertTrue(answer, answer.startsWith("HTTP/1.1 200") && !answer.contains("\r\n0\r\n"));
-            assertEquals(1, target.requests.size());
+            assertEquals(1, backend.requests.size());
         }
     }
 
-    /** A target cut off from us keeps its connection open and says nothing. */
+    /** A backend cut off from us keeps its connection open and says nothing. */
     @Test
     public void aStreamThatFallsSilentIsEndedWithinFiveSeconds() throws Exception {
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED) + chunk(EVENT));
             socket.getInputStream().read();
-        }); Rigged rig = Rigged.with(target)) {
+        }); Rigged rig = Rigged.with(backend)) {
             long start = System.nanoTime();
             String answer = rig.ask(0, chat("id", 1000));
             assertTrue(answer.startsWith("HTTP/1.1 200") && !answer.contains("\r\n0\r\n"));
@@ -127,27 +127,27 @@
     }
 
     @Test
-    public void aSilentTargetIsAnsweredForBeforeTheDeadlineWithATimeToComeBack() throws Exception {
+    public void aSilentBackendIsAnsweredForBeforeTheDeadlineWithATimeToComeBack() throws Exception {
         CountDownLatch closed = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             if (socket.getInputStream().read() < 0) {
                 closed.countDown();
             }
-        }); Rigged rig = Rigged.with(target)) {
+        }); Rigged rig = Rigged.with(backend)) {
             rig.ask(0, "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
             long start = System.nanoTime();
             String answer = rig.ask(0, chat("id", 700));
             assertTrue(System.nanoTime() - start < 1_000_000_000L);
             assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: 2\r\n"));
             assertTrue("the forward is called off", closed.await(5, TimeUnit.SECONDS));
-            assertEquals(1, target.requests.size());
+            assertEquals(1, backend.requests.size());
         }
     }
 
     @Test
     public void whatIsGivenUpIsAnsweredAtOnce() throws Exception {
-        try (StandIn target = new StandIn((request, socket) ->
-                write(socket, head(503, EMPTY, "X-Not-Run: 1\r\n"))); Rigged rig = Rigged.with(target)) {
+        try (StandIn backend = new StandIn((request, socket) ->
+                write(socket, head(503, EMPTY, "X-Not-Run: 1\r\n"))); Rigged rig = Rigged.with(backend)) {
             long start = System.nanoTime();
             String answer = rig.ask(0, chat("id", 4000));
             assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: "));
@@ -156,24 +156,24 @@
     }
 
     @Test
-    public void oneForwardAtATimeAndSixInAll() throws Exception {
+    public void oneAttemptAtATimeAndSixInAll() throws Exception {
         AtomicInteger out = new AtomicInteger();
         AtomicInteger most = new AtomicInteger();
-        StandIn[] targets = new StandIn[8];
-        for (int i = 0; i < targets.length; i++) {
-            targets[i] = new StandIn((request, socket) -> {
+        StandIn[] backends = new StandIn[8];
+        for (int i = 0; i < backends.length; i++) {
+            backends[i] = new StandIn((request, socket) -> {
                 most.accumulateAndGet(out.incrementAndGet(), Math::max);
                 out.decrementAndGet();
                 write(socket, head(500, EMPTY));
             });
         }
-        try (Rigged rig = Rigged.with(targets)) {
+        try (Rigged rig = Rigged.with(backends)) {
             String answer = rig.ask(0, chat("id", 3000));
             assertTrue(answer, answer.startsWith("HTTP/1.1 503"));
             int tries = 0;
-            for (StandIn target : targets) {
-                tries += target.requests.size();
-                target.close();
+            for (StandIn backend : backends) {
+                tries += backend.requests.size();
+                backend.close();
             }
             assertTrue("tries " + tries, tries > 1 && tries <= 6);
             assertEquals(1, most.get());
@@ -181,13 +181,13 @@
     }
 
     @Test
-    public void aTargetThatRefusesConnectionsCostsNoAnswer() throws Exception {
+    public void aBackendThatRefusesConnectionsCostsNoAnswer() throws Exception {
         int port;
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = socket.getLocalPort();
         }
-        try (StandIn target = serving(); Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
-                Rigged.member(1, "127.0.0.1:" + port, "c", "ready") + "," + Rigged.member(2, target.address(), "c", "ready")), null)) {
+        try (StandIn backend = serving(); Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
+                Rigged.member(1, "127.0.0.1:" + port, "c", "ready") + "," + Rigged.member(2, backend.address(), "c", "ready")), null)) {
             for (int i = 0; i < 6; i++) {
                 assertTrue(rig.ask(0, chat("id-" + i, 3000, "X-Key: " + i + "\r\n")).startsWith("HTTP/1.1 200"));
             }
@@ -195,7 +195,7 @@
     }
 
     @Test
-    public void aClientThatLeavesCallsTheForwardOff() throws Exception {
+    public void aClientThatLeavesCallsTheAttemptOff() throws Exception {
         clientLeaves(false, "");
         clientLeaves(true, "");
     }
@@ -212,7 +212,7 @@
     private static void clientLeaves(boolean streaming, String ahead) throws Exception {
         CountDownLatch asked = new CountDownLatch(1);
         CountDownLatch closed = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             if (streaming) {
                 write(socket, head(200, CHUNKED) + chunk(EVENT));
             }
@@ -220,7 +220,7 @@
             if (socket.getInputStream().read() < 0) {
                 closed.countDown();
             }
-        }); Rigged rig = Rigged.with(target)) {
+        }); Rigged rig = Rigged.with(backend)) {
             try (Socket client = rig.connect(0)) {
                 write(client, chat("id", 4000).replace("Connection: close\r\n", "") + ahead);
                 assertTrue(asked.await(5, TimeUnit.SECONDS));
@@ -230,12 +230,12 @@
             }
             assertTrue("streaming " + streaming, closed.await(2, TimeUnit.SECONDS));
             until("nothing open", () -> rig.node.open() == 0);
-            assertEquals(1, target.requests.size());
+            assertEquals(1, backend.requests.size());
         }
     }
 
     @Test
-    public void nothingNewGoesToADrainingTarget() throws Exception {
+    public void nothingNewGoesToADrainingBackend() throws Exception {
         try (StandIn draining = serving(); StandIn ready = serving();
              StandIn discovery = new StandIn((request, socket) -> {
                  write(socket, head(200, CHUNKED) + chunk("{\"revision\":2,\"complete\":false,\"members\":["
@@ -262,14 +262,14 @@
         }
     }
 
-    /** A target that left and came back under its id must have its connections kept again, not one a request. */
+    /** A backend that left and came back under its id must have its connections kept again, not one a request. */
     @Test
-    public void aTargetThatComesBackIsAsBefore() throws Exception {
-        try (StandIn target = serving(); StandIn discovery = new StandIn((request, socket) -> {
+    public void aBackendThatComesBackIsAsBefore() throws Exception {
+        try (StandIn backend = serving(); StandIn discovery = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED));
             for (String phase : new String[] {"gone", "ready"}) {
                 write(socket, chunk("{\"revision\":2,\"complete\":false,\"members\":["
-                        + Rigged.member(1, target.address(), "c", phase) + "]}\n"));
+                        + Rigged.member(1, backend.address(), "c", phase) + "]}\n"));
             }
             socket.getInputStream().read();
         }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(), ""), null)) {
@@ -277,18 +277,18 @@
                 assertTrue(rig.ask(0, chat("id-" + i, 3000)).startsWith("HTTP/1.1 200"));
                 until("nothing open", () -> rig.node.open() == 0);
             }
-            assertEquals(1, target.connections.get());
+            assertEquals(1, backend.connections.get());
         }
     }
 
-    /** A request written to a connection that its target is just closing would count as a reset. */
+    /** A request written to a connection that its backend is just closing would count as a reset. */
     @Test
-    public void anIdleConnectionIsRetiredBeforeItsTargetClosesIt() throws Exception {
-        try (StandIn target = serving(); Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
-                Rigged.member(1, target.address(), "c", "ready")).replace("15000000000", "2000000000"), null)) {
+    public void anIdleConnectionIsRetiredBeforeItsBackendClosesIt() throws Exception {
+        try (StandIn backend = serving(); Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
+                Rigged.member(1, backend.address(), "c", "ready")).replace("15000000000", "2000000000"), null)) {
             rig.ask(0, chat("id", 3000));
             long start = System.nanoTime();
-            until("retired", () -> target.closed.get() == 1);
+            until("retired", () -> backend.closed.get() == 1);
             assertTrue(System.nanoTime() - start < 2_000_000_000L);
         }
     }
@@ -297,9 +297,9 @@
     @Test
     public void aConnectThatNeverComesUpIsTakenBack() throws Exception {
         List<Socket> fill = new ArrayList<>();
-        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()); StandIn target = serving();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()); StandIn backend = serving();
              Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1", Rigged.member(1, "127.0.0.1:"
-                     + full.getLocalPort(), "c", "ready") + "," + Rigged.member(2, target.address(), "c", "ready")), null)) {
+                     + full.getLocalPort(), "c", "ready") + "," + Rigged.member(2, backend.address(), "c", "ready")), null)) {
             try {
                 while (true) {
                     Socket socket = new Socket();
@@ -383,7 +383,7 @@
 
     @Test
     public void malformedRequestsGetAClearAnswer() throws Exception {
-        try (StandIn target = serving(); Rigged rig = Rigged.with(target)) {
+        try (StandIn backend = serving(); Rigged rig = Rigged.with(backend)) {
             String id = "X-Request-Id: i\r\nConnection: close\r\n";
             String[][] cases = {
                 {Rigged.post("/v1/chat/completions", "{}", "X-Class: chat\r\nConnection: close\r\n"), "400", "X-Request-Id"},
@@ -398,7 +398,7 @@
                 String answer = rig.ask(0, row[0]);
                 assertTrue(answer, answer.startsWith("HTTP/1.1 " + row[1]) && answer.contains(row[2]));
             }
-            assertEquals(0, target.requests.size());
+            assertEquals(0, backend.requests.size());
         }
     }
 
@@ -415,21 +415,21 @@
     /** A connection left unaccepted gets no answer at all; idle ones make room, and then refusals do. */
     @Test
     public void beyondItsConnectionsANodeClosesIdleOnesAndThenRefuses() throws Exception {
-        int forwards = 200 / 3;
-        int most = 200 - forwards - 48;
+        int attempts = 200 / 3;
+        int most = 200 - attempts - 48;
         CountDownLatch go = new CountDownLatch(1);
         List<Socket> clients = new ArrayList<>();
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             go.await(10, TimeUnit.SECONDS);
             write(socket, head(200, CHUNKED) + chunk(DONE) + "0\r\n\r\n");
-        }); Rigged rig = Rigged.with(target)) {
+        }); Rigged rig = Rigged.with(backend)) {
             for (int i = 0; i < most; i++) {
                 clients.add(rig.connect(0));
-                // Those that no forward can be had for are busy with a body that does not come.
+                // Those that no attempt can be had for are busy with a body that does not come.
                 String request = chat("id-" + i, 9000).replace("Connection: close\r\n", "");
-                write(clients.get(i), i < forwards ? request : request.substring(0, request.length() - 1));
+                write(clients.get(i), i < attempts ? request : request.substring(0, request.length() - 1));
             }
-            until("all busy", () -> target.requests.size() == forwards);
+            until("all busy", () -> backend.requests.size() == attempts);
             String answer = rig.ask(0, chat("over", 9000));
             assertTrue(answer, answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: 1\r\n"));
             go.countDown();
@@ -442,10 +442,10 @@
         }
     }
 
-    /** Idle connections to one target must not use up what a forward to another needs. */
+    /** Idle connections to one backend must not use up what an attempt to another needs. */
     @Test
-    public void idleConnectionsToTargetsMakeRoomForForwardsToOthers() throws Exception {
-        int forwards = 200 / 3;
+    public void idleConnectionsToBackendsMakeRoomForAttemptsToOthers() throws Exception {
+        int attempts = 200 / 3;
         CountDownLatch go = new CountDownLatch(1);
         CountDownLatch drained = new CountDownLatch(1);
         StandIn.Script script = (request, socket) -> {
@@ -463,11 +463,11 @@
                  socket.getInputStream().read();
              }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(),
                      Rigged.member(1, full.address(), "c", "ready")), null)) {
-            for (int i = 0; i < forwards; i++) {
+            for (int i = 0; i < attempts; i++) {
                 clients.add(rig.connect(0));
                 write(clients.get(i), chat("id-" + i, 9000));
             }
-            until("all out", () -> full.requests.size() == forwards);
+            until("all out", () -> full.requests.size() == attempts);
             go.countDown();
             until("all idle", () -> rig.node.open() == 0);
             drained.countDown();
@@ -479,18 +479,18 @@
         }
     }
 
-    /** A reader that stands still must stop the reading from the target, not fill memory. */
+    /** A reader that stands still must stop the reading from the backend, not fill memory. */
     @Test
-    public void aSlowReaderHoldsItsTargetBack() throws Exception {
+    public void aSlowReaderHoldsItsBackendBack() throws Exception {
         AtomicInteger sent = new AtomicInteger();
         String big = chunk("data: " + "x".repeat(65_000) + "\n\n");
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED));
             for (; sent.get() < 1000; sent.incrementAndGet()) {
                 write(socket, big);
             }
             write(socket, "0\r\n\r\n");
-        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+        }); Rigged rig = Rigged.with(backend); Socket client = rig.connect(0)) {
             write(client, chat("id", 3000));
             until("begun", () -> sent.get() > 0);
             long[] last = {-1, 0};
--- a/node/src/test/java/fawnlb/cli/Rigged.java
+++ b/node/src/test/java/fawnlb/cli/Rigged.java
@@ -41,9 +41,9 @@
         this(config, broker, BELIEVED);
     }
 
-    /** With targets as {@link #with} has them and a file of the operators' for streams. */
-    static Rigged streaming(String streams, StandIn... targets) throws Exception {
-        return new Rigged(config(targets), null, BELIEVED, StreamConfig.read(file(streams)));
+    /** With backends as {@link #with} has them and a file of the operators' for streams. */
+    static Rigged streaming(String streams, StandIn... backends) throws Exception {
+        return new Rigged(config(backends), null, BELIEVED, StreamConfig.read(file(streams)));
     }
 
     Rigged(String config, String broker, String start) throws Exception {
@@ -57,15 +57,15 @@
         node.start();
     }
 
-    /** A node whose list names these targets, ready and of the chat dialect. */
-    static Rigged with(StandIn... targets) throws Exception {
-        return new Rigged(config(targets), null);
+    /** A node whose list names these backends, ready and of the chat dialect. */
+    static Rigged with(StandIn... backends) throws Exception {
+        return new Rigged(config(backends), null);
     }
 
-    private static String config(StandIn... targets) {
+    private static String config(StandIn... backends) {
         StringBuilder members = new StringBuilder();
-        for (int i = 0; i < targets.length; i++) {
-            members.append(i > 0 ? "," : "").append(member(i, targets[i].address(), "c", "ready"));
+        for (int i = 0; i < backends.length; i++) {
+            members.append(i > 0 ? "," : "").append(member(i, backends[i].address(), "c", "ready"));
         }
         return config("automatic", "127.0.0.1:1", members.toString());
     }
--- a/node/src/test/java/fawnlb/cli/RoughRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/RoughRulesTest.java
@@ -21,7 +21,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.Test;
 
-/** Clients that send what can't be read, and targets whose streams come spoilt, on real sockets. */
+/** Clients that send what can't be read, and backends whose streams come spoilt, on real sockets. */
 public class RoughRulesTest {
     private static final String PATH = "/v1/chat/completions";
     private static final String EVENT = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
@@ -30,7 +30,7 @@
     private static final String ID = "X-Request-Id: i\r\nX-Class: chat\r\n";
     private static final String START = "POST " + PATH + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + ID;
 
-    /** An error or a close, and soon: nothing of it may reach a target, or be answered as though it had run. */
+    /** An error or a close, and soon: nothing of it may reach a backend, or be answered as though it had run. */
     @Test
     public void whatCannotBeReadGetsAnErrorOrACloseWithinThreeSeconds() throws Exception {
         String[] cases = {
@@ -60,7 +60,7 @@
             post(PATH, "{}", "X-Request-Id: i\r\n", "X-Class: none\r\n", "Connection: close\r\n"),
             START + "Content-Length: 10\r\n\r\n{}", START + "\r\n", START + "Content-Length: 0\r\n\r\n",
             START + "Content-Len", "\0\1\2\3\r\n\r\n", "", "P"};
-        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(target)) {
+        try (StandIn backend = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(backend)) {
             List<Socket> clients = new ArrayList<>();
             long start = System.nanoTime();
             for (String text : cases) {
@@ -73,7 +73,7 @@
                 assertTrue(cases[i] + " -> " + answer, answer.isEmpty() || answer.matches("(?s)HTTP/1.[01] [45].*"));
             }
             assertTrue(System.nanoTime() - start < 3_000_000_000L);
-            assertEquals(0, target.requests.size());
+            assertEquals(0, backend.requests.size());
             assertTrue(rig.ask(0, chat("good", 3000)).startsWith("HTTP/1.1 200"));
         }
     }
@@ -86,11 +86,11 @@
         String teams = "{\"listen\":\"127.0.0.1:0\",\"teams\":[{\"name\":\"t\",\"key\":\"k\",\"classes\":[\"chat\"],\"models\":[\"m\"],"
                 + "\"deadline-ms\":5000,\"budget\":{\"requests\":1000,\"tokens\":1000000,\"window-ms\":1000}}]}";
         CountDownLatch go = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             go.await(10, TimeUnit.SECONDS);
             write(socket, STREAM);
         }); Rigged rig = new Rigged(Rigged.config("automatic", "127.0.0.1:1",
-                Rigged.member(1, target.address(), "c", "ready")), teams); Socket open = rig.connect(1)) {
+                Rigged.member(1, backend.address(), "c", "ready")), teams); Socket open = rig.connect(1)) {
             String[][] cases = {{"Content-Length: 2000000000\r\n\r\n{}", "413"}, {"Content-Length: -1\r\n\r\n{}", "400"},
                 {"Content-Length: 5\r\n" + CHUNKED + "\r\n0\r\n\r\n", "400"}, {CHUNKED + "\r\nzz\r\n", "400"},
                 {"Content-Length: 9\r\n\r\n{", "408"}};
@@ -101,10 +101,10 @@
                     assertTrue(row[0] + " -> " + answer, answer.startsWith("HTTP/1.1 " + row[1]));
                 }
             }
-            assertEquals(0, target.requests.size());
+            assertEquals(0, backend.requests.size());
             String good = start + CHUNKED + "\r\n" + chunk(body) + "0\r\n\r\n";
             write(open, good);
-            until("taken", () -> target.requests.size() == 1);
+            until("taken", () -> backend.requests.size() == 1);
             assertTrue(rig.ask(1, good).startsWith("HTTP/1.1 409"));
             go.countDown();
             assertTrue(rest(open).startsWith("HTTP/1.1 200"));
@@ -133,18 +133,18 @@
     }
 
     @Test
-    public void aBodyInChunksInPiecesOrAfterContinueReachesItsTargetWhole() throws Exception {
-        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(target);
+    public void aBodyInChunksInPiecesOrAfterContinueReachesItsBackendWhole() throws Exception {
+        try (StandIn backend = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(backend);
              Socket client = rig.connect(0)) {
             String start = "POST " + PATH + " HTTP/1.1\r\nHost: x\r\nX-Class: chat\r\nX-Request-Id: ";
             write(client, start + "a\r\n" + CHUNKED + "\r\n" + chunk("{\"a\"") + "3;x=y\r\n:1}\r\n0\r\nTrailer: z\r\n\r\n");
-            until("chunks", () -> target.requests.size() == 1);
+            until("chunks", () -> backend.requests.size() == 1);
             String slow = start + "b\r\nContent-Length: 5\r\n\r\n[1,2]";
             // Behind the other's body, though its answer is not through yet.
             for (int i = 0; i < slow.length(); i += 50) {
                 write(client, slow.substring(i, Math.min(slow.length(), i + 50)));
             }
-            until("pieces", () -> target.requests.size() == 2);
+            until("pieces", () -> backend.requests.size() == 2);
             write(client, start + "c\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\n");
             StringBuilder seen = new StringBuilder();
             while (!seen.toString().contains("100 Continue")) {
@@ -153,7 +153,7 @@
             write(client, "{}");
             String answer = seen + rest(client);
             assertEquals(answer, 5, answer.split("HTTP/1.1 200|HTTP/1.1 100").length);
-            assertEquals(List.of("{\"a\":1}", "[1,2]", "{}"), target.requests.stream().map(StandIn.Request::body).toList());
+            assertEquals(List.of("{\"a\":1}", "[1,2]", "{}"), backend.requests.stream().map(StandIn.Request::body).toList());
         }
     }
 
@@ -161,13 +161,13 @@
     @Test
     public void requestsSentAheadAreAnsweredInOrder() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             go.await(10, TimeUnit.SECONDS);
             write(socket, head(200, CHUNKED) + chunk("data: " + request.id() + "\n\n" + DONE) + "0\r\n\r\n");
-        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+        }); Rigged rig = Rigged.with(backend); Socket client = rig.connect(0)) {
             String ahead = chat("id-1", 5000).replace("Connection: close\r\n", "");
             write(client, ahead + ahead.replace("id-1", "id-2").substring(0, 40));
-            until("taken", () -> target.requests.size() == 1);
+            until("taken", () -> backend.requests.size() == 1);
             write(client, ahead.replace("id-1", "id-2").substring(40));
             write(client, chat("id-3", 5000));
             go.countDown();
@@ -180,12 +180,12 @@
     @Test
     public void theIdOfAnOpenRequestIsTurnedAway() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             go.await(10, TimeUnit.SECONDS);
             write(socket, STREAM);
-        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+        }); Rigged rig = Rigged.with(backend); Socket client = rig.connect(0)) {
             write(client, chat("same", 5000));
-            until("taken", () -> target.requests.size() == 1);
+            until("taken", () -> backend.requests.size() == 1);
             assertTrue(rig.ask(0, chat("same", 5000)).startsWith("HTTP/1.1 409"));
             go.countDown();
             assertTrue(rest(client).startsWith("HTTP/1.1 200"));
@@ -205,7 +205,7 @@
     @Test
     public void silentConnectionsMakeRoomForThoseWhoAsk() throws Exception {
         List<Socket> silent = new ArrayList<>();
-        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(target)) {
+        try (StandIn backend = new StandIn((request, socket) -> write(socket, STREAM)); Rigged rig = Rigged.with(backend)) {
             for (int i = 0; i < 300; i++) {
                 silent.add(rig.connect(0));
             }
@@ -223,15 +223,15 @@
         }
     }
 
-    /** What a target finds wrong with the request itself is the client's to know, and no fault of the target's. */
+    /** What a backend finds wrong with the request itself is the client's to know, and no fault of the backend's. */
     @Test
-    public void aTargetsObjectionIsPassedOnAndBlamesNobody() throws Exception {
+    public void aBackendsObjectionIsPassedOnAndBlamesNobody() throws Exception {
         AtomicInteger asked = new AtomicInteger();
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             boolean good = request.id().equals("good");
             asked.incrementAndGet();
             write(socket, good ? STREAM : head(400, "Content-Length: 3\r\n") + "bad");
-        }); Rigged rig = Rigged.with(target)) {
+        }); Rigged rig = Rigged.with(backend)) {
             for (int i = 0; i < 5; i++) {
                 String answer = rig.ask(0, chat("id-" + i, 3000));
                 assertTrue(answer, answer.startsWith("HTTP/1.1 400") && answer.contains("bad"));
@@ -241,9 +241,9 @@
         }
     }
 
-    /** Spoilt before its first event was passed on: a failed forward, and the flow goes elsewhere. */
+    /** Spoilt before its first event was passed on: a failed attempt, and the flow goes elsewhere. */
     @Test
-    public void aStreamSpoiltBeforeItsFirstEventIsAFailedForward() throws Exception {
+    public void aStreamSpoiltBeforeItsFirstEventIsAFailedAttempt() throws Exception {
         String[] spoilt = {"\u0001\u0002noise without a line's end", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nX: " + "y".repeat(70_000),
             "HTTP/1.1 200 OK\r\nX: y", head(200, CHUNKED) + "xyz\r\n", head(200, CHUNKED) + "c0000000\r\n" + "x".repeat(50_000),
             head(200, CHUNKED) + "2\r\nabcd\r\n", head(200, CHUNKED) + "2\r\nda\r\nxyz\r\n",
@@ -265,9 +265,9 @@
         }
     }
 
-    /** A target that breaks off within its first event, or within its word that the request is wrong, has answered nothing. */
+    /** A backend that breaks off within its first event, or within its word that the request is wrong, has answered nothing. */
     @Test
-    public void aTargetThatBreaksOffBeforeItsFirstEventIsWholeIsAFailedForward() throws Exception {
+    public void aBackendThatBreaksOffBeforeItsFirstEventIsWholeIsAFailedAttempt() throws Exception {
         String[] broken = {head(200, CHUNKED), head(200, CHUNKED) + "5\r\nda", head(200, CHUNKED) + chunk("data: {\"choices\":[]}"),
             head(200, CHUNKED) + chunk(EVENT.stripTrailing() + "\n"), head(400, "Content-Length: 30\r\n") + "{\"error\":"};
         for (String answer : broken) {
@@ -287,15 +287,15 @@
         }
     }
 
-    /** The forward's time is up while its first event comes in pieces: its stream is sound, and cutting it would lose the request. */
+    /** The attempt's time is up while its first event comes in pieces: its stream is sound, and cutting it would lose the request. */
     @Test
     public void aFirstEventThatIsOnItsWayWhenItsTimeIsUpIsTakenAndNotCut() throws Exception {
         CountDownLatch seen = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED) + "8\r\ndata: ha\r\n");
             seen.await(10, TimeUnit.SECONDS);
             write(socket, chunk("lf\n\n") + chunk(DONE) + "0\r\n\r\n");
-        }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+        }); Rigged rig = Rigged.with(backend); Socket client = rig.connect(0)) {
             write(client, chat("id", 600));
             StringBuilder got = new StringBuilder();
             while (!got.toString().endsWith("data: ha")) {
@@ -306,7 +306,7 @@
             seen.countDown();
             String answer = rest(client);
             assertTrue(got + answer, got.toString().startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n"));
-            assertEquals(1, target.requests.size());
+            assertEquals(1, backend.requests.size());
         }
     }
 
@@ -315,12 +315,12 @@
     public void aStreamSpoiltLaterEndsPromptlyWithoutALastChunk() throws Exception {
         for (String noise : new String[] {"xyz\r\n", "c0000000\r\n" + "x".repeat(50_000), "ffffffffffffffffffff\r\n", "2\r\nabcd\r\n"}) {
             CountDownLatch go = new CountDownLatch(1);
-            try (StandIn target = new StandIn((request, socket) -> {
+            try (StandIn backend = new StandIn((request, socket) -> {
                 write(socket, head(200, CHUNKED) + chunk(EVENT));
                 go.await(10, TimeUnit.SECONDS);
                 write(socket, noise);
                 socket.getInputStream().read();
-            }); Rigged rig = Rigged.with(target); Socket client = rig.connect(0)) {
+            }); Rigged rig = Rigged.with(backend); Socket client = rig.connect(0)) {
                 write(client, chat("id", 1000));
                 while (!StandIn.line(client.getInputStream()).startsWith("data: ")) {
                     assertEquals(1, go.getCount());
@@ -337,27 +337,27 @@
     /** More than belongs to a good stream: the stream is whole, and the rest is no answer to the next request. */
     @Test
     public void whatComesBesidesAGoodStreamChangesNothing() throws Exception {
-        try (StandIn target = new StandIn((request, socket) -> write(socket, "HTTP/1.1 100 Continue\r\n\r\n"
+        try (StandIn backend = new StandIn((request, socket) -> write(socket, "HTTP/1.1 100 Continue\r\n\r\n"
                 + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head(200, CHUNKED, "X-Load: ???\r\n")
                 + chunk("data: " + request.id() + "\n\n" + DONE) + chunk(": X-Load: TEXT queue=\n\n") + "0\r\n\r\n"
-                + head(200, CHUNKED) + chunk("data: second\n\n") + "0\r\n\r\n")); Rigged rig = Rigged.with(target)) {
+                + head(200, CHUNKED) + chunk("data: second\n\n") + "0\r\n\r\n")); Rigged rig = Rigged.with(backend)) {
             for (int i = 0; i < 5; i++) {
                 String answer = rig.ask(0, chat("id-" + i, 3000));
                 assertTrue(answer, answer.startsWith("HTTP/1.1 200") && answer.contains("data: id-" + i + "\n\n")
                         && !answer.contains("second") && answer.endsWith("0\r\n\r\n"));
             }
-            assertEquals(5, target.connections.get());
+            assertEquals(5, backend.connections.get());
         }
     }
 
     /** A refusal's status is known with its head; a body without end must not hold the flow up. */
     @Test
     public void anErrorWhoseBodyDoesNotEndIsKnownByItsHead() throws Exception {
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(503, "X-Not-Run: 1\r\n", "Content-Length: 9000000000\r\n") + "x");
             socket.getInputStream().read();
         }); StandIn other = new StandIn((request, socket) -> write(socket, head(500, EMPTY)));
-             Rigged rig = Rigged.with(target, other)) {
+             Rigged rig = Rigged.with(backend, other)) {
             long start = System.nanoTime();
             assertTrue(rig.ask(0, chat("id", 4000)).startsWith("HTTP/1.1 503"));
             assertTrue(System.nanoTime() - start < 2_000_000_000L);
@@ -366,40 +366,40 @@
 
     /** A list told whole names those that are gone by leaving them out; their connections must not stay. */
     @Test
-    public void aTargetLeftOutOfAWholeListIsLetGoOf() throws Exception {
+    public void aBackendLeftOutOfAWholeListIsLetGoOf() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM));
+        try (StandIn backend = new StandIn((request, socket) -> write(socket, STREAM));
              StandIn discovery = new StandIn((request, socket) -> {
                  write(socket, head(200, CHUNKED));
                  told.await(10, TimeUnit.SECONDS);
                  write(socket, chunk("{\"revision\":9,\"complete\":true,\"members\":[]}\n"));
                  socket.getInputStream().read();
              }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(),
-                     Rigged.member(1, target.address(), "c", "ready")), null)) {
+                     Rigged.member(1, backend.address(), "c", "ready")), null)) {
             assertTrue(rig.ask(0, chat("id", 3000)).startsWith("HTTP/1.1 200"));
             told.countDown();
-            until("closed", () -> target.closed.get() == 1);
+            until("closed", () -> backend.closed.get() == 1);
         }
     }
 
     /** A new process at an old address: what was idle leads to the one before, and may not even say so. */
     @Test
-    public void aTargetThatStartedAnewGetsNewConnections() throws Exception {
+    public void aBackendThatStartedAnewGetsNewConnections() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> write(socket, STREAM));
+        try (StandIn backend = new StandIn((request, socket) -> write(socket, STREAM));
              StandIn discovery = new StandIn((request, socket) -> {
                  write(socket, head(200, CHUNKED));
                  told.await(10, TimeUnit.SECONDS);
-                 write(socket, chunk("{\"revision\":9,\"complete\":false,\"members\":[" + Rigged.member(1, target.address(), "c",
+                 write(socket, chunk("{\"revision\":9,\"complete\":false,\"members\":[" + Rigged.member(1, backend.address(), "c",
                          "ready").replace("up_since_ms\":0", "up_since_ms\":5") + "]}\n"));
                  socket.getInputStream().read();
              }); Rigged rig = new Rigged(Rigged.config("subscribe", discovery.address(),
-                     Rigged.member(1, target.address(), "c", "ready")), null)) {
+                     Rigged.member(1, backend.address(), "c", "ready")), null)) {
             assertTrue(rig.ask(0, chat("id", 3000)).startsWith("HTTP/1.1 200"));
             told.countDown();
-            until("closed", () -> target.closed.get() == 1);
+            until("closed", () -> backend.closed.get() == 1);
             assertTrue(rig.ask(0, chat("again", 3000)).startsWith("HTTP/1.1 200"));
-            assertEquals(2, target.connections.get());
+            assertEquals(2, backend.connections.get());
         }
     }
 }
--- a/node/src/test/java/fawnlb/cli/StandIn.java
+++ b/node/src/test/java/fawnlb/cli/StandIn.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A stand-in for a target or for discovery: each request it gets is answered by a script. */
+/** A stand-in for a backend or for discovery: each request it gets is answered by a script. */
 final class StandIn implements AutoCloseable {
     final List<Request> requests = new CopyOnWriteArrayList<>();
     final AtomicInteger connections = new AtomicInteger();
--- a/node/src/test/java/fawnlb/cli/StartWithoutDiscoveryTest.java
+++ b/node/src/test/java/fawnlb/cli/StartWithoutDiscoveryTest.java
@@ -55,9 +55,9 @@
         try (StandIn gone = serving()) {
             away = gone.address();
         }
-        try (StandIn target = serving()) {
+        try (StandIn backend = serving()) {
             try (Rigged rigged = new Rigged(Rigged.config("subscribe", NOWHERE, ""), null,
-                    start("", member(1, target.address()), member(2, away)))) {
+                    start("", member(1, backend.address()), member(2, away)))) {
                 for (int i = 0; i < 5; i++) {
                     String answer = rigged.ask(0, Rigged.chat("id" + i, 3000, "X-Key: a" + i + "\r\n"));
                     assertTrue(answer, answer.startsWith("HTTP/1.1 200"));
@@ -67,28 +67,28 @@
     }
 
     /**
-     * What stands behind a remembered address may be another target by now, of no list that this node was given. No time that
+     * What stands behind a remembered address may be another backend by now, of no list that this node was given. No time that
      * passes tells; an answer does, be it that nothing has changed, and so does a call that fails.
      */
     @Test
-    public void aNodeIsReadyAndTriesRememberedTargetsOnceDiscoveryHasSpokenAndNotBefore() throws Exception {
+    public void aNodeIsReadyAndTriesRememberedBackendsOnceDiscoveryHasSpokenAndNotBefore() throws Exception {
         String ready = "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
         for (String word : new String[] {head(200, CHUNKED) + chunk("\n"), head(200, CHUNKED) + chunk("{\"revision\":2,"
                 + "\"members\":[]}\n"), head(503, "Content-Length: 0\r\n")}) {
             CountDownLatch speaks = new CountDownLatch(1);
-            try (StandIn target = serving();
+            try (StandIn backend = serving();
                  StandIn discovery = new StandIn((request, socket) -> {
                      speaks.await(10, TimeUnit.SECONDS);
                      write(socket, word);
                      socket.getInputStream().read();
                  });
                  Rigged rigged = new Rigged(Rigged.config("subscribe", discovery.address(),
-                         Rigged.member(1, target.address(), "c", "ready")), null, "{}")) {
+                         Rigged.member(1, backend.address(), "c", "ready")), null, "{}")) {
                 Rigged.until("asked", () -> !discovery.requests.isEmpty());
                 assertTrue(rigged.ask(0, ready).startsWith("HTTP/1.1 503"));
                 String early = rigged.ask(0, Rigged.chat("early", 100));
                 assertTrue(early, early.startsWith("HTTP/1.1 503") && early.contains("Retry-After"));
-                assertEquals(0, target.requests.size());
+                assertEquals(0, backend.requests.size());
                 speaks.countDown();
                 Rigged.until("ready", () -> {
                     try {
@@ -103,29 +103,29 @@
         }
     }
 
-    /** Nothing more is sent to a target that has not yet answered than its room: here one of three nodes' eight. */
+    /** Nothing more is sent to a backend that has not yet answered than its room: here one of three nodes' eight. */
     @Test
-    public void anUnprovenTargetHoldsFewThatWait() throws Exception {
+    public void anUnprovenBackendHoldsFewThatWait() throws Exception {
         CountDownLatch answering = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             answering.await(10, TimeUnit.SECONDS);
             write(socket, head(200, CHUNKED) + chunk("data: [DONE]\n\n") + "0\r\n\r\n");
         })) {
             try (Rigged rigged = new Rigged(Rigged.config("subscribe", NOWHERE, ""), null,
-                    start(",\"probation\":{\"waiting\":2}", member(1, target.address())))) {
+                    start(",\"probation\":{\"waiting\":2}", member(1, backend.address())))) {
                 Socket[] clients = new Socket[6];
                 for (int i = 0; i < clients.length; i++) {
                     clients[i] = rigged.connect(0);
                     write(clients[i], Rigged.chat("id" + i, 6000));
                 }
                 Rigged.until("six taken", () -> rigged.node.open() == clients.length);
-                Rigged.until("two out", () -> target.requests.size() == 2);
+                Rigged.until("two out", () -> backend.requests.size() == 2);
                 answering.countDown();
                 for (Socket client : clients) {
                     assertTrue(new String(client.getInputStream().readAllBytes()).startsWith("HTTP/1.1 200"));
                     client.close();
                 }
-                assertEquals(clients.length, target.requests.size());
+                assertEquals(clients.length, backend.requests.size());
             }
         }
     }
@@ -157,8 +157,8 @@
 
     @Test
     public void aDamagedFileStopsNoStartAndTheOlderOneIsTaken() throws Exception {
-        try (StandIn target = serving()) {
-            String start = start("", member(1, target.address()));
+        try (StandIn backend = serving()) {
+            String start = start("", member(1, backend.address()));
             Path file = folder.getRoot().toPath().resolve("list");
             Files.copy(file, file.resolveSibling("list.1"));
             Files.write(file, new byte[] {1, 2, 3});
@@ -170,13 +170,13 @@
 
     @Test
     public void aListThatBreaksOffHalfWayChangesNothing() throws Exception {
-        try (StandIn target = serving();
+        try (StandIn backend = serving();
              StandIn discovery = new StandIn((request, socket) -> {
                  write(socket, head(200, CHUNKED) + "400\r\n{\"revision\":3,\"complete\":true,\"members\":[");
                  socket.close();
              })) {
             try (Rigged rigged = new Rigged(Rigged.config("subscribe", discovery.address(), ""), null,
-                    start("", member(1, target.address())))) {
+                    start("", member(1, backend.address())))) {
                 Rigged.until("asked again", () -> discovery.requests.size() > 1);
                 assertTrue(rigged.ask(0, Rigged.chat("id", 3000)).startsWith("HTTP/1.1 200"));
             }
@@ -184,7 +184,7 @@
     }
 
     @Test
-    public void withEveryListedTargetGoneARequestIsRefusedInTime() throws Exception {
+    public void withEveryListedBackendGoneARequestIsRefusedInTime() throws Exception {
         String away;
         try (StandIn gone = serving()) {
             away = gone.address();
--- a/node/src/test/java/fawnlb/cli/StreamRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/StreamRulesTest.java
@@ -29,7 +29,7 @@
             + "\"admin\":{\"listen\":\"127.0.0.1:0\"}}";
 
     private static String admin(Rigged rig, boolean json) throws IOException {
-        return AdminClient.targets(rig.node.address(1), json);
+        return AdminClient.backends(rig.node.address(1), json);
     }
 
     private static void untilOpen(Rigged rig, int streams) {
@@ -43,15 +43,15 @@
     }
 
     @Test
-    public void aTargetThatStallsMidwayIsGivenUpAndTheClientSeesNoEnd() throws Exception {
+    public void aBackendThatStallsMidwayIsGivenUpAndTheClientSeesNoEnd() throws Exception {
         CountDownLatch over = new CountDownLatch(1);
         String[] places = {chunk(DATA), chunk(DATA) + "2", chunk(DATA) + "20\r\n", chunk(DATA) + "20\r\ndata: {\"a\":\"",
             chunk(DATA) + "20\r\ndata: {\"a\":\"\u00e2"};
         for (String bytes : places) {
-            try (StandIn target = new StandIn((request, socket) -> {
+            try (StandIn backend = new StandIn((request, socket) -> {
                 write(socket, head(200, CHUNKED) + bytes);
                 over.await();
-            }); Rigged rig = Rigged.streaming(SHORT, target)) {
+            }); Rigged rig = Rigged.streaming(SHORT, backend)) {
                 String answer = rig.ask(0, Rigged.chat("a", 4000));
                 assertTrue(answer, answer.startsWith("HTTP/1.1 200") && answer.contains(DATA));
                 assertFalse(answer, answer.endsWith("0\r\n\r\n"));
@@ -65,8 +65,8 @@
     /** The framing ended, the answer did not: the client must not take it for whole. */
     @Test
     public void anAnswerWithoutItsLastEventIsCut() throws Exception {
-        try (StandIn target = new StandIn((request, socket) -> write(socket, head(200, CHUNKED) + chunk(DATA) + "0\r\n\r\n"));
-                Rigged rig = Rigged.streaming(SHORT, target)) {
+        try (StandIn backend = new StandIn((request, socket) -> write(socket, head(200, CHUNKED) + chunk(DATA) + "0\r\n\r\n"));
+                Rigged rig = Rigged.streaming(SHORT, backend)) {
             String answer = rig.ask(0, Rigged.chat("a", 4000));
             assertFalse(answer, answer.endsWith("0\r\n\r\n"));
             untilOpen(rig, 0);
@@ -96,7 +96,7 @@
         }
     }
 
-    /** What a target sends until its connection takes no more. */
+    /** What a backend sends until its connection takes no more. */
     private static StandIn.Script torrent(AtomicInteger closed) {
         byte[] text = new byte[8000];
         Arrays.fill(text, (byte) 'x');
@@ -118,11 +118,11 @@
         };
     }
 
-    /** A reader that stops holds up its own stream alone, and its target's work is called off in the end. */
+    /** A reader that stops holds up its own stream alone, and its backend's work is called off in the end. */
     @Test
     public void aReaderThatStopsIsLeftAndHoldsUpNobodyElse() throws Exception {
         AtomicInteger closed = new AtomicInteger();
-        try (StandIn target = new StandIn(torrent(closed)); Rigged rig = Rigged.streaming(SHORT, target);
+        try (StandIn backend = new StandIn(torrent(closed)); Rigged rig = Rigged.streaming(SHORT, backend);
                 Socket stopped = rig.connect(0)) {
             stopped.setReceiveBufferSize(4096);
             write(stopped, Rigged.chat("stopped", 4000));
@@ -141,11 +141,11 @@
         }
     }
 
-    /** A target that outruns its reader is read from no faster than the reader reads, and gets its answer through. */
+    /** A backend that outruns its reader is read from no faster than the reader reads, and gets its answer through. */
     @Test
     public void aSlowReaderIsNotLeft() throws Exception {
         AtomicInteger closed = new AtomicInteger();
-        try (StandIn target = new StandIn(torrent(closed)); Rigged rig = Rigged.streaming(SHORT, target); Socket slow = rig.connect(0)) {
+        try (StandIn backend = new StandIn(torrent(closed)); Rigged rig = Rigged.streaming(SHORT, backend); Socket slow = rig.connect(0)) {
             write(slow, Rigged.chat("slow", 4000));
             InputStream in = slow.getInputStream();
             byte[] some = new byte[1 << 16];
@@ -161,7 +161,7 @@
     public void theAdminListenerAnswersQuestionsAndNothingElse() throws Exception {
         String[][] table = {{"GET /targets HTTP/1.1", "200"}, {"GET /targets.json HTTP/1.1", "200"}, {"GET /x HTTP/1.1", "404"},
             {"DELETE /targets HTTP/1.1", "405"}};
-        try (StandIn target = new StandIn((request, socket) -> { }); Rigged rig = Rigged.streaming(SHORT, target)) {
+        try (StandIn backend = new StandIn((request, socket) -> { }); Rigged rig = Rigged.streaming(SHORT, backend)) {
             for (String[] row : table) {
                 String answer = rig.ask(1, row[0] + "\r\nHost: x\r\nConnection: close\r\n\r\n");
                 assertTrue(answer, answer.startsWith("HTTP/1.1 " + row[1]));
@@ -169,11 +169,11 @@
         }
     }
 
-    /** A target that sends without end to a reader who takes it all has its turn, and no more. */
+    /** A backend that sends without end to a reader who takes it all has its turn, and no more. */
     @Test
     public void aTorrentHoldsNobodyUp() throws Exception {
         AtomicInteger closed = new AtomicInteger();
-        try (StandIn target = new StandIn(torrent(closed)); Rigged rig = Rigged.streaming(SHORT, target); Socket fast = rig.connect(0)) {
+        try (StandIn backend = new StandIn(torrent(closed)); Rigged rig = Rigged.streaming(SHORT, backend); Socket fast = rig.connect(0)) {
             write(fast, Rigged.chat("fast", 4000));
             Thread reader = new Thread(() -> {
                 try {
@@ -195,12 +195,12 @@
     @Test
     public void aPlannedEndWaitsForAStalledStreamNoLongerThanItIsBelieved() throws Exception {
         CountDownLatch over = new CountDownLatch(1);
-        try (StandIn target = new StandIn((request, socket) -> {
+        try (StandIn backend = new StandIn((request, socket) -> {
             write(socket, head(200, CHUNKED) + chunk(DATA));
             over.await();
-        }); Rigged rig = Rigged.streaming(SHORT, target); Socket client = rig.connect(0)) {
+        }); Rigged rig = Rigged.streaming(SHORT, backend); Socket client = rig.connect(0)) {
             write(client, Rigged.chat("a", 4000));
-            until("flowing", () -> rig.node.open() == 1 && target.requests.size() == 1);
+            until("flowing", () -> rig.node.open() == 1 && backend.requests.size() == 1);
             long begun = System.nanoTime();
             rig.node.drain();
             assertTrue(System.nanoTime() - begun < 5_000_000_000L);
--- a/node/src/test/java/fawnlb/client/ClientExchangeTest.java
+++ b/node/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -3,9 +3,9 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
-import fawnlb.stream.Ending;
 import fawnlb.actor.Mailbox;
 import fawnlb.flow.Source;
+import fawnlb.stream.Ending;
 import io.undertow.Undertow;
 import io.undertow.util.SameThreadExecutor;
 import java.io.InputStream;
--- a/node/src/test/java/fawnlb/discovery/MemberListTest.java
+++ b/node/src/test/java/fawnlb/discovery/MemberListTest.java
@@ -37,7 +37,7 @@
         }
     }
 
-    /** A name was looked up on the I/O thread, and each forward to an address that is none was never heard of again. */
+    /** A name was looked up on the I/O thread, and each attempt to an address that is none was never heard of again. */
     @Test
     public void onlyNumericAddressesAreTaken() throws IOException {
         for (String bad : new String[] {"engine.local:9", "999.1.1.1:9", "127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1", "1.2.3:9",
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -6,26 +6,26 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.actor.Mailbox;
+import fawnlb.actor.Timers;
+import fawnlb.config.SettingsParser;
 import fawnlb.decision.Balancer;
 import fawnlb.decision.Balancer.Ended;
 import fawnlb.decision.Balancer.Outcome;
 import fawnlb.decision.Balancer.Send;
-import fawnlb.actor.Mailbox;
-import fawnlb.actor.Timers;
 import fawnlb.stream.End;
 import fawnlb.stream.Ending;
-import fawnlb.config.SettingsParser;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.Test;
 
-/** The core alone: a module that does as told, targets and a clock by hand. */
+/** The core alone: a module that does as told, backends and a clock by hand. */
 public class FlowsTest {
     private static final long MS = 1_000_000;
     private final List<String> seen = new ArrayList<>();
     private final List<Balancer.Event> events = new ArrayList<>();
-    private final List<Targets.Report> reports = new ArrayList<>();
+    private final List<Backends.Report> reports = new ArrayList<>();
     private final List<Long> sendBys = new ArrayList<>();
     private final List<Long> untils = new ArrayList<>();
     private final Hand hand = new Hand();
@@ -80,14 +80,14 @@
         }
     }
 
-    private final class ByHand implements Targets {
+    private final class ByHand implements Backends {
         @Override
-        public Forward forward(long target, Ask ask, long until, long sendBy, boolean again, Report report) {
+        public Attempt attempt(long backend, Ask ask, long until, long sendBy, boolean again, Report report) {
             reports.add(report);
             sendBys.add(sendBy);
             untils.add(until);
             int number = reports.size();
-            seen.add("forward " + target);
+            seen.add("forward " + backend);
             return end -> {
                 seen.add("stop " + number + ' ' + end.word());
                 report.ended(Ending.of(end), 0, List.of());
@@ -95,7 +95,7 @@
         }
 
         @Override
-        public void probe(long target, ProbeReport report) {
+        public void probe(long backend, ProbeReport report) {
             report.probed(Outcome.SERVED, List.of(2.0));
         }
     }
@@ -108,7 +108,7 @@
         public void fetch() { }
     }
 
-    private final class Client implements Listener {
+    private final class Client implements ClientConnection {
         boolean there = true;
 
         @Override
@@ -170,7 +170,7 @@
     }
 
     @Test
-    public void aForwardIsStoppedAtTheDeadlineAndTheAnswerIsGivenOnce() {
+    public void anAttemptIsStoppedAtTheDeadlineAndTheAnswerIsGivenOnce() {
         take();
         module.act(new Send(1, 7, 0));
         hand.pass(90 * MS);
@@ -183,7 +183,7 @@
     }
 
     @Test
-    public void neverTwoForwardsAtOnceNorMoreThanAllowedNorOneForAFlowThatIsOver() {
+    public void neverTwoAttemptsAtOnceNorMoreThanAllowedNorOneForAFlowThatIsOver() {
         take();
         module.act(new Send(1, 7, 0));
         module.act(new Send(1, 8, 0));
@@ -222,9 +222,9 @@
         assertEquals(0, flows.open());
     }
 
-    /** Requests that targets object to must not make a target look failing, nor its answers look quick. */
+    /** Requests that backends object to must not make a backend look failing, nor its answers look quick. */
     @Test
-    public void aTargetsObjectionIsTheAnswerAndTellsTheModuleNothingOfTheTarget() {
+    public void aBackendsObjectionIsTheAnswerAndTellsTheModuleNothingOfTheBackend() {
         take();
         module.act(new Send(1, 7, 0));
         reports.get(0).rejected(new Stream());
@@ -236,9 +236,9 @@
         assertEquals(0, flows.open());
     }
 
-    /** Asked by the target when the request is about to be written: what was decided on may be of no use to anybody by then. */
+    /** Asked by the backend when the request is about to be written: what was decided on may be of no use to anybody by then. */
     @Test
-    public void aForwardIsWantedWhileItsClientIsThereAndHasNoAnswer() {
+    public void anAttemptIsWantedWhileItsClientIsThereAndHasNoAnswer() {
         Client client = new Client();
         take(client);
         module.act(new Send(1, 7, 0));
@@ -251,7 +251,7 @@
     }
 
     @Test
-    public void aClientThatLeavesIsOwedNothingAndItsForwardIsCalledOff() {
+    public void aClientThatLeavesIsOwedNothingAndItsAttemptIsCalledOff() {
         for (boolean streaming : new boolean[] {false, true}) {
             seen.clear();
             reports.clear();
@@ -289,7 +289,7 @@
         assertEquals(new Balancer.TimerDue(9), events.get(1));
     }
 
-    /** A stream whose reader has stopped is no work for its target: the module counts it no more, and hears no end. */
+    /** A stream whose reader has stopped is no work for its backend: the module counts it no more, and hears no end. */
     @Test
     public void aParkedStreamIsOverForTheModuleAndNotForItsClient() {
         take();
@@ -319,7 +319,7 @@
             take();
             if (faulty != Balancer.Request.class) {
                 module.act(new Send(((Balancer.Request) events.get(events.size() - 1)).id(), 7, 0));
-                Targets.Report report = reports.get(reports.size() - 1);
+                Backends.Report report = reports.get(reports.size() - 1);
                 if (faulty == Ended.class) {
                     report.ended(Ending.of(End.FAILED), 0, List.of());
                 } else {
@@ -342,7 +342,7 @@
         assertEquals(1, flows.open());
     }
 
-    /** A flow whose only forward ends so, and of which the module says nothing more. */
+    /** A flow whose only attempt ends so, and of which the module says nothing more. */
     private void lastCallAfter(End end) {
         take();
         module.act(new Send(1, 7, 0));
--- a/node/src/test/java/fawnlb/http/ConnectionTest.java
+++ b/node/src/test/java/fawnlb/http/ConnectionTest.java
@@ -91,7 +91,7 @@
 
     /** An answer that never ends, or that comes faster than it is passed on, is one of many that the thread reads. */
     @Test
-    public void aTargetThatSendsWithoutAPauseHoldsUpNobodyElse() throws Exception {
+    public void aBackendThatSendsWithoutAPauseHoldsUpNobodyElse() throws Exception {
         CountDownLatch begun = new CountDownLatch(1);
         CountDownLatch written = new CountDownLatch(1);
         InetAddress here = InetAddress.getLoopbackAddress();
--- a/node/src/test/java/fawnlb/policy/FleetTest.java
+++ b/node/src/test/java/fawnlb/policy/FleetTest.java
@@ -356,7 +356,7 @@
 
     /**
      * What a silent watch misses counts as told 6 s after its last word, and 3.5 s of these are over when it is given up. Of 100
-     * routers that lost theirs together, those that opened it anew up to 4 s later sent on to targets that drained meanwhile.
+     * routers that lost theirs together, those that opened it anew up to 4 s later sent on to backends that drained meanwhile.
      */
     @Test
     public void aSilentWatchIsOpenedAnewBeforeWhatItMissesCountsAsTold() {
--- a/node/src/test/java/fawnlb/policy/LongDayTest.java
+++ b/node/src/test/java/fawnlb/policy/LongDayTest.java
@@ -58,8 +58,8 @@
         assertEquals(LIVE * Choice.POINTS, kept(rig.choice, "ring"));
         assertEquals(0, kept(rig.choice, "tasks"));
         assertEquals(0, kept(rig.choice, "held"));
-        assertTrue(kept(rig.choice, "recent") <= Choice.RECENT * 16);
-        assertTrue(kept(rig.choice, "recentByKey") <= Choice.RECENT * 16);
+        assertTrue(kept(rig.choice, "recent") <= Choice.RECENT_PER_REPLICA * 16);
+        assertTrue(kept(rig.choice, "recentByKey") <= Choice.RECENT_PER_REPLICA * 16);
         assertTrue("cold ones of 9 s", kept(rig.choice, "coldNodes") <= 9000 / 60 + 2);
     }
 }
--- a/node/src/test/java/fawnlb/probation/ProbationTest.java
+++ b/node/src/test/java/fawnlb/probation/ProbationTest.java
@@ -37,7 +37,7 @@
         return new Listed(kind, 1, LongStream.of(ready).mapToObj(id -> replica(id, Phase.READY)).toList());
     }
 
-    /** What the policy holds after this: room by target, and no target that is gone. */
+    /** What the policy holds after this: room by backend, and no backend that is gone. */
     private Listed show(Listed out) {
         if (out != null) {
             if (out.kind() == ListKind.FULL || out.kind() == ListKind.CACHED) {
@@ -102,7 +102,7 @@
 
     /** Three nodes share eight; a fresh memory has its part at once, an old one earns it. */
     @Test
-    public void roomGrowsWithAnswersAndEndsWhenTheTargetMayBeWarm() {
+    public void roomGrowsWithAnswersAndEndsWhenTheBackendMayBeWarm() {
         Probation probation = start(2 * HOUR, 0, 1);
         int[] rooms = {1, 2, 2, 2};
         for (int i = 0; i < rooms.length; i++) {
@@ -145,7 +145,7 @@
     }
 
     @Test
-    public void aProvenTargetThatRefusesConnectsIsColdAgain() {
+    public void aProvenBackendThatRefusesConnectsIsColdAgain() {
         Probation probation = start(S, 0, 1);
         for (int i = 0; i < 3; i++) {
             answers(probation, NOW, 1);
@@ -207,7 +207,7 @@
     }
 
     @Test
-    public void nodesWithOtherSeedsBeginWithOtherTargets() {
+    public void nodesWithOtherSeedsBeginWithOtherBackends() {
         long[] ids = LongStream.rangeClosed(1, 14).toArray();
         Map<Long, Integer> first = new HashMap<>();
         for (long seed : new long[] {1, 2}) {
@@ -221,7 +221,7 @@
     }
 
     /**
-     * The address of a remembered target may be another's by now: a day was lost by a request that met one of no list,
+     * The address of a remembered backend may be another's by now: a day was lost by a request that met one of no list,
      * sent 50 ms after a start and 200 ms before discovery had answered.
      */
     @Test
--- a/node/src/test/java/fawnlb/stream/StreamsTest.java
+++ b/node/src/test/java/fawnlb/stream/StreamsTest.java
@@ -35,13 +35,13 @@
     };
     private long now = S;
 
-    private Stream open(Streams all, long target, boolean again) {
-        return all.open(now, target, 1000, now + 8 * S, again, true, owner);
+    private Stream open(Streams all, long backend, boolean again) {
+        return all.open(now, backend, 1000, now + 8 * S, again, true, owner);
     }
 
     /** A stream that has begun, its first event taken. */
-    private Stream begun(Streams all, long target) {
-        Stream stream = open(all, target, true);
+    private Stream begun(Streams all, long backend) {
+        Stream stream = open(all, backend, true);
         stream.head(now, true);
         stream.piece(now, 10);
         stream.took(now);
@@ -49,10 +49,10 @@
     }
 
     /** Teaches it the gaps and waits of many streams: about this many milliseconds, with a spread of a few parts in ten. */
-    private void teach(Streams all, long target, double gapMs, double waitMs, Random random) {
+    private void teach(Streams all, long backend, double gapMs, double waitMs, Random random) {
         for (int i = 0; i < 40; i++) {
             long begin = now;
-            Stream stream = open(all, target, true);
+            Stream stream = open(all, backend, true);
             long at = begin + (long) (waitMs * MS * Math.exp(0.2 * random.nextGaussian()));
             stream.head(at, true);
             stream.piece(at, 10);
@@ -158,7 +158,7 @@
         assertEquals(List.of(), ended);
         wakeUntil(steady, at + 3300 * MS);
         assertEquals("a pause of 3 s and the gap that it fell into", List.of(End.STALLED), ended);
-        // A target whose events come 1 s apart is given more, and the same silence elsewhere still is not.
+        // A backend whose events come 1 s apart is given more, and the same silence elsewhere still is not.
         Streams slow = new Streams(RULES);
         teach(slow, 1, 1000, 3000, new Random(1));
         Stream patient = begun(slow, 1);
@@ -181,8 +181,8 @@
 
     @Test
     public void aFirstEventIsNotWaitedForToTheEndWhereAnotherAttemptCouldFollow() {
-        for (int target = 0; target < 5; target++) {
-            teach(streams, target, 60, 300, new Random(target));
+        for (int backend = 0; backend < 5; backend++) {
+            teach(streams, backend, 60, 300, new Random(backend));
         }
         Stream stuck = open(streams, 1, true);
         Stream only = open(streams, 2, false);
@@ -203,8 +203,8 @@
     /** The time for a first event was over in the middle of its pieces, and a sound stream was cut. */
     @Test
     public void aFirstEventThatHasBegunIsNotGivenUpWhileItsPiecesCome() {
-        for (int target = 0; target < 5; target++) {
-            teach(streams, target, 60, 300, new Random(target));
+        for (int backend = 0; backend < 5; backend++) {
+            teach(streams, backend, 60, 300, new Random(backend));
         }
         long sent = now;
         Stream waits = open(streams, 1, true);
@@ -245,8 +245,8 @@
     @Test
     public void whatIsAllowedFollowsAFleetThatSlowsDown() {
         Random random = new Random(5);
-        for (int target = 0; target < 5; target++) {
-            teach(streams, target, 60, 300, random);
+        for (int backend = 0; backend < 5; backend++) {
+            teach(streams, backend, 60, 300, random);
         }
         int cut = 0;
         for (int i = 0; i < 400; i++) {
@@ -269,13 +269,13 @@
     }
 
     @Test
-    public void aSilenceThatMostTargetsShareIsGivenTheLongestTime() {
-        for (int target = 0; target < 5; target++) {
-            teach(streams, target, 60, 300, new Random(target));
+    public void aSilenceThatMostBackendsShareIsGivenTheLongestTime() {
+        for (int backend = 0; backend < 5; backend++) {
+            teach(streams, backend, 60, 300, new Random(backend));
         }
         List<Stream> all = new ArrayList<>();
-        for (int target = 0; target < 5; target++) {
-            all.add(begun(streams, target));
+        for (int backend = 0; backend < 5; backend++) {
+            all.add(begun(streams, backend));
         }
         long began = now;
         for (long at = began; at < began + 4500 * MS; at += 10 * MS) {
@@ -290,9 +290,9 @@
         ended.clear();
         all.forEach(stream -> stream.over(End.STALLED));
         all.forEach(Stream::close);
-        for (int target = 0; target < 5; target++) {
-            Stream stream = begun(streams, target);
-            if (target < 2) {
+        for (int backend = 0; backend < 5; backend++) {
+            Stream stream = begun(streams, backend);
+            if (backend < 2) {
                 wakeUntil(stream, began + 3300 * MS);
             }
         }
@@ -302,8 +302,8 @@
     /** A cut site of two: its streams are given up as soon as one alone would be, the others' go on. */
     @Test
     public void theStreamsOfACutSiteAreGivenUpAndNoOthers() {
-        for (int target = 0; target < 14; target++) {
-            teach(streams, target, 60, 300, new Random(target));
+        for (int backend = 0; backend < 14; backend++) {
+            teach(streams, backend, 60, 300, new Random(backend));
         }
         List<Stream> cut = new ArrayList<>();
         List<Stream> others = new ArrayList<>();
@@ -421,9 +421,9 @@
         Streams all = new Streams(new Rules(true, 5, 200 * MS, 4500 * MS, 100 * MS, 0.6, 20 * S, 1 << 20));
         int cut = 0;
         for (int i = 0; i < 50_000; i++) {
-            int target = random.nextInt(14);
-            double speed = target < 3 ? 3 * (target + 1) : 1;
-            Stream stream = open(all, target, false);
+            int backend = random.nextInt(14);
+            double speed = backend < 3 ? 3 * (backend + 1) : 1;
+            Stream stream = open(all, backend, false);
             long at = now + (long) (200 * MS * speed * Math.exp(0.5 * random.nextGaussian()));
             stream.head(at, true);
             stream.piece(at, 1);
