Let a connection to a backend rest for 50 ms before it is used again

A connection was used again in the moment in which its answer was whole, the latest one first.

The test writes the second answer after the next request was sent; without the rest that request goes out on the same connection. Two tests of connections that are used again let them rest first; they assert as before.

--- a/node/src/main/java/fawnlb/backend/Backend.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -22,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import java.util.logging.Logger;
@@ -132,12 +133,18 @@
         pool.socketClosed();
     }
 
+    /** The connection that has rested for the shortest time, and long enough; null if there is none. */
     private Connection idleConnection() {
         retire();
-        while (!idle.isEmpty()) {
-            Connection connection = idle.pollLast().connection();
-            if (connection.isUsable()) {
-                return connection;
+        Iterator<Idle> latestFirst = idle.descendingIterator();
+        while (latestFirst.hasNext()) {
+            Idle candidate = latestFirst.next();
+            if (timers.now() - candidate.since() < limits.rest()) {
+                continue;
+            }
+            latestFirst.remove();
+            if (candidate.connection().isUsable()) {
+                return candidate.connection();
             }
             pool.socketClosed();
         }
--- a/node/src/main/java/fawnlb/backend/BackendPool.java
+++ b/node/src/main/java/fawnlb/backend/BackendPool.java
@@ -29,8 +29,18 @@
     private final Streams streams;
     private int sockets;
 
-    /** Times in nanoseconds. */
-    public record Limits(long connect, long idle, long probe, int sockets, List<String> reportFields) { }
+    /**
+     * What holds for all connections; times in nanoseconds.
+     *
+     * @param connect how long a connect may take
+     * @param idle after how long a backend closes a connection that carries no request
+     * @param rest how long a connection rests between two requests. A backend may send a second answer behind the first, some
+     *     milliseconds late: behind the next request it would be taken for that one's answer, while a resting connection closes
+     * @param probe how long a probe may take
+     * @param sockets how many connections may be open
+     * @param reportFields the fields of load reports, in their order
+     */
+    public record Limits(long connect, long idle, long rest, long probe, int sockets, List<String> reportFields) { }
 
     public BackendPool(XnioIoThread thread, Timers timers, Limits limits, Streams streams) {
         this.thread = thread;
--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -67,6 +67,8 @@
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
     private static final long SECOND = 1_000_000_000L;
     private static final long PROBE = SECOND / 2;
+    /** A second answer comes some milliseconds late, says the operators' page; ten times as long is still little to wait. */
+    static final long REST = SECOND / 20;
     /** New connections keep coming for up to 0.4 s after SIGTERM. */
     private static final long STILL_ACCEPTED_MS = 600;
     /** A planned end looks so often at what is left. */
@@ -135,7 +137,7 @@
         connections = new Connections(clientShare(config), IDLE, timers);
         Streams streams = new Streams(stream.rules());
         BackendPool backends = new BackendPool(thread, timers, new BackendPool.Limits(settings.connections().timeout(),
-                settings.connections().idle(), PROBE, backendShare(config), settings.reportFields()), streams);
+                settings.connections().idle(), REST, PROBE, backendShare(config), settings.reportFields()), streams);
         Remembered remembered = Remembered.read(start, config.known(), timers.now());
         Recorder recorder = recorder(thread, timers, remembered);
         List<View> views = new ArrayList<>(recorder == null ? List.of() : List.of(recorder));
--- a/node/src/test/java/fawnlb/backend/BackendPoolTest.java
+++ b/node/src/test/java/fawnlb/backend/BackendPoolTest.java
@@ -19,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -40,7 +41,7 @@
     private final XnioIoThread thread;
     private final IoTimers timers;
     private final Streams streams = new Streams(Rules.standard());
-    private final BackendPool pool;
+    private BackendPool pool;
     private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
     /** Whether the client is still there; asked and set on the I/O thread. */
     private boolean wanted = true;
@@ -69,7 +70,11 @@
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         thread = worker.getIoThread();
         timers = new IoTimers(thread);
-        pool = new BackendPool(thread, timers, new BackendPool.Limits(SECOND / 4, SECOND, 1, 50, List.of()), streams);
+        pool = pool(0);
+    }
+
+    private BackendPool pool(long rest) {
+        return new BackendPool(thread, timers, new BackendPool.Limits(SECOND / 4, SECOND, rest, 1, 50, List.of()), streams);
     }
 
     @After
@@ -197,4 +202,48 @@
             assertEquals("not-sent", ends.poll(10, TimeUnit.SECONDS));
         }
     }
+
+    private static BufferedReader readRequest(Socket socket, String id) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+        in.readLine();
+        in.readLine();
+        assertEquals("X-Request-Id: " + id, in.readLine());
+        return in;
+    }
+
+    /** The second answer comes after the next request was sent: on one connection it would pass for that one's answer. */
+    @Test
+    public void lateSecondAnswerIsNotTakenForTheNextRequestsAnswer() throws Exception {
+        pool = pool(SECOND);
+        String answer = "HTTP/1.1 503 x\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            server.setSoTimeout(10_000);
+            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+            thread.execute(() -> {
+                pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
+                attempt(1, Long.MAX_VALUE, "first");
+            });
+            try (Socket first = server.accept()) {
+                readRequest(first, "first");
+                first.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                assertEquals("turned-away", ends.poll(10, TimeUnit.SECONDS));
+                thread.execute(() -> attempt(1, Long.MAX_VALUE, "next"));
+                try (Socket second = server.accept()) {
+                    readRequest(second, "next");
+                    first.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    assertEquals("closed by what nobody asked for", -1, drained(first));
+                    assertTrue(ends.isEmpty());
+                }
+            }
+        }
+    }
+
+    private static int drained(Socket socket) throws IOException {
+        socket.setSoTimeout(10_000);
+        int last = 0;
+        while (last >= 0) {
+            last = socket.getInputStream().read();
+        }
+        return last;
+    }
 }
--- a/node/src/test/java/fawnlb/cli/NodeRulesTest.java
+++ b/node/src/test/java/fawnlb/cli/NodeRulesTest.java
@@ -94,6 +94,7 @@
             for (int i = 0; i < 5; i++) {
                 rig.ask(0, chat("id-" + i, 3000));
                 until("nothing open", () -> rig.node.open() == 0);
+                Rigged.rest();
             }
             assertEquals(5, backend.requests.size());
             assertEquals(1, backend.connections.get());
@@ -276,6 +277,7 @@
             for (int i = 0; i < 5; i++) {
                 assertTrue(rig.ask(0, chat("id-" + i, 3000)).startsWith("HTTP/1.1 200"));
                 until("nothing open", () -> rig.node.open() == 0);
+                Rigged.rest();
             }
             assertEquals(1, backend.connections.get());
         }
--- a/node/src/test/java/fawnlb/cli/Rigged.java
+++ b/node/src/test/java/fawnlb/cli/Rigged.java
@@ -105,6 +105,12 @@
         }
     }
 
+    /** Lets the connections to backends rest for as long as they must before they are used again. */
+    static void rest() {
+        long end = System.nanoTime() + Node.REST + 1_000_000;
+        until("rested", () -> System.nanoTime() > end);
+    }
+
     /** Waits for what must come to be true. */
     static void until(String what, BooleanSupplier holds) {
         long end = System.nanoTime() + PATIENCE;
