--- a/node/src/main/java/fawnlb/stream/Signal.java
+++ b/node/src/main/java/fawnlb/stream/Signal.java
@@ -27,7 +27,7 @@
     /** The answer is whole. */
     LAST("the last byte"),
     /** The attempt is over and gives the client nothing more: its end says why. */
-    OVER("the target's side is over"),
+    OVER("the backend's side is over"),
     /** The client's side is over. */
     CLOSED("the client's side is over");
 
