Take a folded header of an answer, and no reset for the end of one

By reading, for the question whether a sound answer is taken for broken: a folded header was an error (RFC 9112 has it read as a space, and the attempt counted as one that may have run); chunk extensions with quotes, trailers, and names in any case were read rightly, and have a row in the table now. The other way round, an answer that goes on to its connection's end was whole when the connection was reset (Connection.read gave -1 for both); streams were safe by their last event, whole answers were not.

--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -21,6 +21,9 @@
     /** What one read brings is copied out before the next, so a thread needs only one. */
     private static final ThreadLocal<ByteBuffer> READ = ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(READ_SIZE));
 
+    /** A connection that broke ends no answer, not even one that goes on to the connection's end. */
+    private static final int RESET = -2;
+
     /** So long a head may take from its first byte to its end. */
     private static final long HEAD = 500_000_000;
 
@@ -186,6 +189,10 @@
                 close();
                 return;
             }
+            if (n == RESET) {
+                finish(false, Break.CLOSED);
+                return;
+            }
             if (n < 0) {
                 finish(parser.eof(), Break.CLOSED);
                 return;
@@ -201,12 +208,12 @@
         }
     }
 
-    /** Bytes read, below 0 if the other side has closed or reset the connection. */
+    /** Bytes read, below 0 if the other side has closed the connection, {@link #RESET} if it broke. */
     private int read(ByteBuffer in) {
         try {
             return channel.getSourceChannel().read(in);
         } catch (IOException e) {
-            return -1;
+            return RESET;
         }
     }
 
--- a/node/src/main/java/fawnlb/http/ResponseParser.java
+++ b/node/src/main/java/fawnlb/http/ResponseParser.java
@@ -20,6 +20,7 @@
 
     private final Lines lines = new Lines(LONGEST_HEADS, false);
     private Map<String, String> headers = new HashMap<>();
+    private String lastHeader;
     private boolean statusRead;
     private int status;
     private boolean keepAlive;
@@ -82,6 +83,10 @@
     }
 
     private void header(String text) throws IOException {
+        if (text.startsWith(" ") || text.startsWith("\t")) {
+            fold(text);
+            return;
+        }
         if (!text.isEmpty()) {
             int colon = text.indexOf(':');
             String name = colon < 0 ? "" : text.substring(0, colon).toLowerCase(Locale.ROOT);
@@ -90,6 +95,7 @@
             }
             String value = text.substring(colon + 1).trim();
             String before = headers.put(name, value);
+            lastHeader = name;
             if (before != null && !before.equals(value) && Heads.isFraming(name)) {
                 throw new IOException("two different headers " + name);
             }
@@ -97,6 +103,7 @@
         }
         if (status < 200) {
             headers = new HashMap<>();
+            lastHeader = null;
             statusRead = false;
             return;
         }
@@ -106,6 +113,14 @@
         head = new Response(status, headers, keepAlive);
     }
 
+    /** A line that continues the header before it, by RFC 9112 as though a space stood there; never one that frames. */
+    private void fold(String text) throws IOException {
+        if (lastHeader == null || Heads.isFraming(lastHeader)) {
+            throw new IOException("a header that can't be continued");
+        }
+        headers.merge(lastHeader, text.trim(), (value, more) -> (value + ' ' + more).trim());
+    }
+
     private Content content() throws IOException {
         String coding = headers.get("transfer-encoding");
         String length = headers.get("content-length");
--- a/node/src/test/java/fawnlb/cli/DescriptorPressureIT.java
+++ b/node/src/test/java/fawnlb/cli/DescriptorPressureIT.java
@@ -11,9 +11,7 @@
 
 import fawnlb.cli.Launch.Running;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -58,12 +56,6 @@
         }
     }
 
-    private static int closedPort() throws IOException {
-        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return any.getLocalPort();
-        }
-    }
-
     @Test
     public void reloadWatchAndServersGetDescriptorsWhileIdleClientsTakeAllOfTheirs() throws Exception {
         String answer = head(200, CHUNKED) + chunk("data: {\"choices\":[]}\n\ndata: [DONE]\n\n") + "0\r\n\r\n";
@@ -76,7 +68,7 @@
                      write(socket, chunk("\n"));
                  }
              })) {
-            Path config = Rigged.file(Rigged.config("subscribe", "127.0.0.1:" + closedPort(), ""));
+            Path config = Rigged.file(Rigged.config("subscribe", "127.0.0.1:" + Rigged.closedPort(), ""));
             try (Running node = new Running(Launch.after("ulimit -n " + LIMIT, "serve", "--config", config.toString()));
                  Socket first = connect(node.log, "serves on")) {
                 int port = first.getPort();
--- a/node/src/test/java/fawnlb/cli/LongDaysIT.java
+++ b/node/src/test/java/fawnlb/cli/LongDaysIT.java
@@ -113,7 +113,7 @@
     public void aNodeWhoseLogNobodyReadsServesOn() throws Exception {
         try (StandIn discovery = new StandIn((request, socket) -> write(socket, head(200, CHUNKED) + chunk("{\"revision\":2,"
                 + "\"members\":[" + Rigged.member(1, "x".repeat(200_000) + ":y", "c", "ready") + "]}\n") + "0\r\n\r\n"))) {
-            int port = freePort();
+            int port = Rigged.closedPort();
             Path config = Rigged.file(Rigged.config("subscribe", discovery.address(), "").replace(":0\"", ":" + port + '"'));
             Process node = Launch.start("serve", "--config", config.toString());
             try {
@@ -131,12 +131,6 @@
         }
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return any.getLocalPort();
-        }
-    }
-
     /** The platform closes the log as the program begins to end, and what went wrong from there on left nothing to read. */
     @Test
     public void theLogGoesOnToTheEndAndSaysWhatIsIgnored() throws Exception {
--- a/node/src/test/java/fawnlb/cli/ReadinessTest.java
+++ b/node/src/test/java/fawnlb/cli/ReadinessTest.java
@@ -55,10 +55,7 @@
 
     @Test
     public void nodeIsReadyWhereDiscoveryIsAway() throws Exception {
-        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            closed.close();
-            assertReadyInTime("127.0.0.1:" + closed.getLocalPort());
-        }
+        assertReadyInTime("127.0.0.1:" + Rigged.closedPort());
     }
 
     @Test
--- a/node/src/test/java/fawnlb/cli/Rigged.java
+++ b/node/src/test/java/fawnlb/cli/Rigged.java
@@ -5,7 +5,9 @@
 import fawnlb.config.StartConfig;
 import fawnlb.config.StreamConfig;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -105,6 +107,13 @@
         }
     }
 
+    /** A port on which nobody listens for now. */
+    static int closedPort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
     /** Lets the connections to backends rest for as long as they must before they are used again. */
     static void rest() {
         long end = System.nanoTime() + Node.REST + 1_000_000;
--- a/node/src/test/java/fawnlb/http/ConnectionTest.java
+++ b/node/src/test/java/fawnlb/http/ConnectionTest.java
@@ -118,4 +118,24 @@
             }
         }
     }
+
+    /** Its end is that of its connection, and one that broke is no end: half an answer would pass for all of it. */
+    @Test
+    public void resetEndsNoAnswerThatGoesOnToTheConnectionsEnd() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            Connection connection = connect(server);
+            Eager call = new Eager("call", connection, new CountDownLatch(1), new CountDownLatch(0));
+            try (Socket backend = server.accept()) {
+                IoTurn.take(worker.getIoThread(), () -> {
+                    connection.send(call, ByteBuffer.wrap(new byte[] {' '}));
+                    return null;
+                });
+                backend.getOutputStream().write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf".getBytes());
+                assertTrue(call.begun.await(10, TimeUnit.SECONDS));
+                backend.setSoLinger(true, 0);
+            }
+            assertTrue(call.whole.await(10, TimeUnit.SECONDS));
+            assertTrue(seen.toString(), seen.contains("call broken"));
+        }
+    }
 }
--- a/node/src/test/java/fawnlb/http/ResponseParserTest.java
+++ b/node/src/test/java/fawnlb/http/ResponseParserTest.java
@@ -24,6 +24,10 @@
         {"HTTP/1.1 204\r\n\r\n", 204, "", true, true},
         {"HTTP/1.1 102 Processing\r\nX: y\r\n\r\nHTTP/1.1 100\r\n\r\n" + OK + "Content-Length: 1\r\n\r\na", 200, "a", true, true},
         {OK + "Connection: close\r\n\r\nall of it", 200, "all of it", false, false},
+        {OK + "X-Note: a\r\n  b\r\n\tc\r\nCONTENT-LENGTH: 1\r\n\r\na", 200, "a", true, true},
+        {OK + "Connection:\r\n close\r\nContent-Length: 1\r\n\r\na", 200, "a", true, false},
+        {OK + "TRANSFER-ENCODING: CHUNKED\r\n\r\n00003 ; a=\"x;y\\\"z\";b\r\nabc\r\n0;q=\"\"\r\nA: b\r\nC: d\r\n\r\n", 200, "abc",
+            true, true},
     };
     private static final String[] BAD = {
         OK + "\r\nall of it",         "SPDY/1 200 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", OK + "no colon\r\n\r\n", OK + "Content-Length: -1\r\n\r\n",
@@ -34,6 +38,7 @@
         OK + "Transfer-Encoding: chunked\r\n\r\n1\r\na\n0\r\n\r\n", OK + "Transfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n",
         OK + "Transfer-Encoding: chunked\r\n\r\n1;" + "x".repeat(5000), OK + "Transfer-Encoding: gzip\r\n\r\n",
         OK + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", OK + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        OK + " x: y\r\n\r\n", OK + "Content-Length:\r\n 1\r\n\r\na", OK + "Transfer-Encoding: chunked\r\n , gzip\r\n\r\n",
         OK + "Content-Length: +1\r\n\r\n", OK + "Content-Length: 99999999999999999999\r\n\r\n", OK + "a b: c\r\n\r\n",
         "\u0001noise", "HTTP/2", "HTTP/1.1 200 " + "x".repeat(17_000), OK + "a: b\r\n".repeat(3000),
         "HTTP/1.1 100 Continue\r\n\r\n".repeat(1000)};
