Close a connection whose client never does after its last answer, as an idle one

They count like idle ones; the test fails without it by reading: nothing else of the test's clock closes the connection.

--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -61,18 +61,23 @@
     }
 
     /**
-     * Closes those that have been idle for too long. Undertow's own timer would close upon a request that lies unread on a
+     * Closes those that have been idle, or closing, for too long. Undertow's own timer would close upon a request that lies unread on a
      * busy processor.
      */
     private void retire() {
+        long next = Math.min(retire(Phase.IDLE), retire(Phase.CLOSING));
+        timers.after(Math.max(LEAST_PAUSE, next), this::retire);
+    }
+
+    /** Closes those that have been in this phase for too long; in how many nanoseconds to look again. */
+    private long retire(Phase phase) {
         long now = timers.now();
-        StreamConnection eldest = eldest(Phase.IDLE);
+        StreamConnection eldest = eldest(phase);
         while (eldest != null && now - activity(eldest).since() >= patience) {
             closeUnlessAsked(eldest);
-            eldest = eldest(Phase.IDLE);
+            eldest = eldest(phase);
         }
-        long left = eldest == null ? patience : activity(eldest).since() + patience - now;
-        timers.after(Math.max(LEAST_PAUSE, left), this::retire);
+        return eldest == null ? patience : activity(eldest).since() + patience - now;
     }
 
     /**
--- a/node/src/test/java/fawnlb/client/ConnectionsTest.java
+++ b/node/src/test/java/fawnlb/client/ConnectionsTest.java
@@ -1,6 +1,7 @@
 package fawnlb.client;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.actor.Timers;
@@ -271,4 +272,26 @@
             }
         }
     }
+
+    @Test
+    public void connectionWhoseClientNeverClosesItIsClosedAfterItsLastAnswer() throws Exception {
+        reader.setRootHandler(exchange -> {
+            connections.serving(exchange);
+            exchange.setPersistent(false);
+            exchange.getResponseSender().send("served\n");
+        });
+        try (Socket client = connect()) {
+            StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
+            onIoThread(() -> connections.accept(connection, reader));
+            ask(client);
+            assertServed(client);
+            onIoThread(() -> {
+                retire.run();
+                assertTrue("its answer is on its way", connection.isOpen());
+                now += PATIENCE;
+                retire.run();
+                assertFalse(connection.isOpen());
+            });
+        }
+    }
 }
