--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -1,8 +1,8 @@
 package fawnlb.client;
 
 import fawnlb.actor.Mailbox;
-import fawnlb.flow.Flows;
 import fawnlb.flow.ClientConnection;
+import fawnlb.flow.Flows;
 import fawnlb.flow.Source;
 import fawnlb.stream.End;
 import fawnlb.stream.Ending;
--- a/node/src/test/java/fawnlb/cli/JarIT.java
+++ b/node/src/test/java/fawnlb/cli/JarIT.java
@@ -17,7 +17,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.Test;
