--- a/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
+++ b/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
@@ -23,7 +23,7 @@
 
 /** A box: an engine behind sockets, with what can go wrong with it. All of it runs on the worker's I/O thread. */
 public final class EngineServer implements HttpServer.Handler {
-    private static final Pattern MOST = Pattern.compile("\"max_tokens\"\\s*:\\s*(\\d{1,6})");
+    private static final Pattern MAX_TOKENS_FIELD = Pattern.compile("\"max_tokens\"\\s*:\\s*(\\d{1,6})");
     private static final Pattern STREAM = Pattern.compile("\"stream\"\\s*:\\s*true");
     /** Tokens in one event. */
     private static final int EVENT = 4;
@@ -61,7 +61,7 @@
                 }
             }
             String body = new String(request.body(), StandardCharsets.UTF_8);
-            Matcher most = MOST.matcher(body);
+            Matcher most = MAX_TOKENS_FIELD.matcher(body);
             if (!facts.containsKey("out") && most.find()) {
                 facts.put("out", Long.parseLong(most.group(1)));
             }
--- a/lab/src/main/java/fawnlb/lab/load/Plan.java
+++ b/lab/src/main/java/fawnlb/lab/load/Plan.java
@@ -16,7 +16,7 @@
 public final class Plan {
     private static final double S = 1e9;
     private static final int TOP_PREFIXES = 24;
-    private static final int MOST_OUT = 800;
+    private static final int MAX_OUT = 800;
 
     /**
      * One turn. {@code at}: nanoseconds from the start; lengths in tokens; {@code patience}: milliseconds that a try
@@ -52,7 +52,7 @@
             double at = begin;
             for (int left = more.sample() + 1; left > 0 && at < seconds; left--) {
                 prompt += (int) Math.max(20, asked.sample());
-                int out = (int) Math.max(8, Math.min(MOST_OUT, answered.sample()));
+                int out = (int) Math.max(8, Math.min(MAX_OUT, answered.sample()));
                 if (at >= 0) {
                     turns.add(new Turn((long) (at * S), session, prefix, prompt, lengths[prefix], out,
                             (int) (7500 * (0.3 + 0.25 * random.nextDouble())), random.nextInt(3) == 0 ? 0 : 100 + random.nextInt(400)));
--- a/lab/src/main/java/fawnlb/lab/scenario/SlowReaders.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/SlowReaders.java
@@ -28,7 +28,7 @@
     private static final double LOAD = 0.35;
     private static final int OUT = 100;
     private static final int PAD = 16_000;
-    private static final long MOST_HELD = 16 << 20;
+    private static final long MAX_HELD = 16 << 20;
     private static final long LITTLE = 1 << 20;
     private static final Pattern HELD = Pattern.compile("(\\d+) byte\\(s\\) held");
     private static final Pattern STOPPED_ENDS = Pattern.compile("reader-stopped (\\d+)");
@@ -54,8 +54,8 @@
         List<Run> without = new ArrayList<>();
         for (int i = 0; i < pairs; i++) {
             // In turn, so that what changes on the machine changes for both.
-            without.add(run(seed + i, seconds, false, MOST_HELD));
-            with.add(run(seed + i, seconds, true, MOST_HELD));
+            without.add(run(seed + i, seconds, false, MAX_HELD));
+            with.add(run(seed + i, seconds, true, MAX_HELD));
             System.err.printf("%d of %d pairs%n", i + 1, pairs);
         }
         Run little = run(seed, 15, true, LITTLE);
@@ -71,7 +71,7 @@
         verdict.claim("first event's p99, median ratio of pairs", String.format("%.3f", first), "within 1.05", first <= 1.05);
         verdict.claim("gap's p99, median ratio of pairs", String.format("%.3f", gap), "within 1.05", gap <= 1.05);
         long held = with.stream().mapToLong(Run::held).max().orElse(0);
-        verdict.claim("most bytes held for readers", Long.toString(held), "within " + MOST_HELD, held <= MOST_HELD);
+        verdict.claim("most bytes held for readers", Long.toString(held), "within " + MAX_HELD, held <= MAX_HELD);
         verdict.figure("node's memory at the end, with them and without", String.format("%d MB  %d MB",
                 with.get(0).memory() >> 20, without.get(0).memory() >> 20));
         int left = with.stream().mapToInt(Run::left).min().orElse(0);
--- a/lab/src/main/java/fawnlb/lab/scenario/StalledBoxes.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StalledBoxes.java
@@ -30,7 +30,7 @@
     private static final int STREAMS = 50_000;
     private static final int STREAMS_A_SECOND = 700;
     private static final long PAUSE = 3 * S;
-    private static final long MOST = 4_490_000_000L;
+    private static final long MAX_SILENCE = 4_490_000_000L;
 
     private enum Form {
         LEARNED("learned, as delivered", "{}"),
@@ -145,7 +145,7 @@
             Stage.on(stage.fleet, () -> stage.boxes.forEach(box -> silences.addAll(box.called())));
             // Beyond the upper bound a stream must be given up: its client may not wait for 5 s. An attempt that was called
             // off as its first event crossed that is no stream: no client has seen any of it.
-            long due = silences.stream().filter(nanos -> nanos >= MOST).count();
+            long due = silences.stream().filter(nanos -> nanos >= MAX_SILENCE).count();
             long early = Math.max(0, ends.get(Clients.End.BROKEN) - due);
             verdict.claim("false cuts, of " + begun + " streams of boxes that pause 3 s", Long.toString(early), "0", early == 0);
             verdict.figure("broken for a client; silences of all that were called off", String.format("%d  %s",
--- a/node/src/main/java/fawnlb/backend/Backend.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -37,11 +37,11 @@
 
     /** What is read of an answer that is not passed on, so that its connection can be used again: so many bytes
      *  for so long. */
-    private static final int MOST_DISCARDED = 64 * 1024;
+    private static final int MAX_DISCARDED_BYTES = 64 * 1024;
     private static final long DISCARD = 250_000_000;
 
     /** An answer that is not streamed is kept until it is whole, and may be so long. */
-    private static final int LONGEST_WHOLE = 1 << 20;
+    private static final int MAX_WHOLE_BYTES = 1 << 20;
 
     /** What a backend finds wrong with the request itself: it would with every backend, and the client can mend it. */
     private static final Set<Integer> CLIENT_FAULTS = Set.of(400, 404, 413, 422);
@@ -448,7 +448,7 @@
         public void body(ByteBuffer bytes) {
             if (!streaming) {
                 discarded += bytes.remaining();
-                if (discarded > MOST_DISCARDED) {
+                if (discarded > MAX_DISCARDED_BYTES) {
                     stop(failure());
                 } else {
                     connection.more();
@@ -467,8 +467,8 @@
 
         /** A whole answer is shown when it is whole: half of one under status 200 would pass for all of it. */
         private ByteBuffer hold(ByteBuffer bytes) throws IOException {
-            if (held.size() + bytes.remaining() > LONGEST_WHOLE) {
-                throw new IOException("answer longer than " + LONGEST_WHOLE + " bytes");
+            if (held.size() + bytes.remaining() > MAX_WHOLE_BYTES) {
+                throw new IOException("answer longer than " + MAX_WHOLE_BYTES + " bytes");
             }
             byte[] piece = new byte[bytes.remaining()];
             bytes.get(piece);
--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -84,8 +84,8 @@
      * hold 22 KB of the heap while it is read, and 30 KB with 16 KiB; 635 clients, as many as 1,024 descriptors leave, can
      * hold 14 MB with them at a time.
      */
-    private static final int LONGEST_HEAD = 8 * 1024;
-    private static final int MOST_HEADERS = 64;
+    private static final int MAX_HEAD_BYTES = 8 * 1024;
+    private static final int MAX_HEADERS = 64;
     private static final int HEAD_MS = 2000;
     /** A connection without a request may be closed after 2 s, and one that stays silent must be within 3 s. */
     private static final long IDLE = 2300 * SECOND / 1000;
@@ -239,7 +239,7 @@
      */
     private void listen(InetSocketAddress address, HttpHandler handler, int most) throws IOException {
         HttpOpenListener reader = new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER, 256, 0), OptionMap.builder()
-                .set(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD).set(UndertowOptions.MAX_HEADERS, MOST_HEADERS)
+                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES).set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS).getMap());
         reader.setRootHandler(exchange -> {
             String fault = Heads.fault(exchange);
--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -32,7 +32,7 @@
     /** Connections over the limit, kept only to be told so. */
     private static final int SPARE = 12;
 
-    private static final long LEAST_PAUSE = 20_000_000;
+    private static final long MIN_PAUSE = 20_000_000;
 
     /** CLOSING: its last answer is out; what its client still sends is read and dropped. */
     private enum Phase { IDLE, READING_HEAD, SERVING, CLOSING }
@@ -66,7 +66,7 @@
      */
     private void retire() {
         long next = Math.min(retire(Phase.IDLE), retire(Phase.CLOSING));
-        timers.after(Math.max(LEAST_PAUSE, next), this::retire);
+        timers.after(Math.max(MIN_PAUSE, next), this::retire);
     }
 
     /** Closes those that have been in this phase for too long; in how many nanoseconds to look again. */
--- a/node/src/main/java/fawnlb/config/NodeConfig.java
+++ b/node/src/main/java/fawnlb/config/NodeConfig.java
@@ -18,7 +18,7 @@
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                          MemberList known, Settings settings, List<String> complaints) {
     /** Below this nothing is left for clients beside a third for backends and what the process itself needs. */
-    private static final int FEWEST_SOCKETS = 96;
+    private static final int MIN_SOCKETS = 96;
 
     /** A configuration that can't be used; the message is one line. */
     public static final class Bad extends Exception {
@@ -94,12 +94,12 @@
     private static int sockets(String text) throws Bad {
         try {
             int sockets = Integer.parseInt(text);
-            if (sockets >= FEWEST_SOCKETS) {
+            if (sockets >= MIN_SOCKETS) {
                 return sockets;
             }
         } catch (NumberFormatException e) {
             // Told below, like one that is too low.
         }
-        throw new Bad("limits.sockets: expected " + FEWEST_SOCKETS + " or more, found '" + text + "'");
+        throw new Bad("limits.sockets: expected " + MIN_SOCKETS + " or more, found '" + text + "'");
     }
 }
--- a/node/src/main/java/fawnlb/config/SettingsParser.java
+++ b/node/src/main/java/fawnlb/config/SettingsParser.java
@@ -25,7 +25,7 @@
  */
 public final class SettingsParser {
     private static final long SECOND = 1_000_000_000L;
-    private static final int MOST_ITEMS = 10_000;
+    private static final int MAX_ITEMS = 10_000;
 
     private final Map<String, String> values = new HashMap<>();
     private final List<String> complaints = new ArrayList<>();
@@ -52,7 +52,7 @@
         List<RequestClass> classes = new ArrayList<>();
         List<Double> perThousand = doubles("family-info.aim-us-per-1000-prompt-tokens");
         List<Double> tokenAims = doubles("family-info.token-aim-ns");
-        int count = Math.min(MOST_ITEMS, whole("profiles.count", 0));
+        int count = Math.min(MAX_ITEMS, whole("profiles.count", 0));
         for (int i = 0; i < count; i++) {
             String at = "profiles." + i + ".";
             long deadline = time(at + "deadline-ns", SECOND);
@@ -63,11 +63,11 @@
                     real(at + "late-worth", 0), truth(at + "stream")));
         }
         List<Tenant> tenants = new ArrayList<>();
-        int orgs = Math.min(MOST_ITEMS, whole("orgs.count", 0));
+        int orgs = Math.min(MAX_ITEMS, whole("orgs.count", 0));
         for (int i = 0; i < orgs; i++) {
             tenants.add(new Tenant(real("orgs." + i + ".fraction", 0), real("orgs." + i + ".quota-per-s", 0)));
         }
-        Limits limits = new Limits(whole("limits.most-tries", 1), whole("limits.most-held", MOST_ITEMS),
+        Limits limits = new Limits(whole("limits.most-tries", 1), whole("limits.most-held", MAX_ITEMS),
                 truth("limits.second-copies"), truth("limits.may-cancel"), truth("limits.probing"),
                 truth("limits.peers"), truth("limits.retry-after") ? time("limits.max-retry-after-ns", 0) : 0);
         Rules rules = new Rules(time("rules.drain-grace-ns", 0), time("rules.ask-within-ns", 10 * SECOND),
--- a/node/src/main/java/fawnlb/config/StreamConfig.java
+++ b/node/src/main/java/fawnlb/config/StreamConfig.java
@@ -12,7 +12,7 @@
     private static final long MS = 1_000_000;
     private static final long HOUR_MS = 3_600_000;
     /** Clients are left waiting at most 5 s after a backend's last event, and a timer may come late. */
-    private static final long LONGEST_SILENCE_MS = 4800;
+    private static final long MAX_SILENCE_MS = 4800;
 
     /** What holds without a file: the admin listener is off, and the log has no figures. */
     public static StreamConfig none() {
@@ -24,8 +24,8 @@
         Rules usual = Rules.standard();
         Rules rules = new Rules(in.truth("silence.learned", usual.learned()),
                 in.number("silence.suspicion", (long) usual.suspicion(), 2, 30),
-                in.number("silence.pause-ms", usual.pause() / MS, 0, LONGEST_SILENCE_MS) * MS,
-                in.number("silence.most-ms", usual.mostSilence() / MS, 10, LONGEST_SILENCE_MS) * MS,
+                in.number("silence.pause-ms", usual.pause() / MS, 0, MAX_SILENCE_MS) * MS,
+                in.number("silence.most-ms", usual.mostSilence() / MS, 10, MAX_SILENCE_MS) * MS,
                 in.number("silence.first-event-least-ms", usual.leastWait() / MS, 10, HOUR_MS) * MS,
                 in.number("silence.majority-percent", Math.round(usual.majority() * 100), 1, 100) / 100.0,
                 in.number("readers.patience-ms", usual.readerPatience() / MS, 100, HOUR_MS) * MS,
--- a/node/src/main/java/fawnlb/dialect/Fields.java
+++ b/node/src/main/java/fawnlb/dialect/Fields.java
@@ -14,8 +14,8 @@
 final class Fields {
     static final JsonFactory JSON = new JsonFactory();
     private static final int DEEPEST = 32;
-    private static final int LONGEST_PATH = 512;
-    private static final int MOST_VALUES = 20_000;
+    private static final int MAX_PATH_LENGTH = 512;
+    private static final int MAX_VALUES = 20_000;
 
     private final Map<String, String> values = new HashMap<>();
     private final Map<String, Integer> sizes = new HashMap<>();
@@ -48,7 +48,7 @@
 
     private void read(JsonParser in, String path, int depth) throws IOException {
         // A path repeats the names above it: long ones over many values would cost far more than the body.
-        if (depth > DEEPEST || path.length() > LONGEST_PATH || values.size() + sizes.size() > MOST_VALUES) {
+        if (depth > DEEPEST || path.length() > MAX_PATH_LENGTH || values.size() + sizes.size() > MAX_VALUES) {
             throw new IOException("JSON too deep, too wide or with names too long");
         }
         if (in.currentToken() == null) {
--- a/node/src/main/java/fawnlb/dialect/FirstEvent.java
+++ b/node/src/main/java/fawnlb/dialect/FirstEvent.java
@@ -20,8 +20,8 @@
         if (begun == null) {
             return bytes;
         }
-        if (begun.size() + bytes.remaining() > SseParser.LONGEST_EVENT) {
-            throw new IOException("no event in " + SseParser.LONGEST_EVENT + " bytes");
+        if (begun.size() + bytes.remaining() > SseParser.MAX_EVENT_BYTES) {
+            throw new IOException("no event in " + SseParser.MAX_EVENT_BYTES + " bytes");
         }
         byte[] piece = new byte[bytes.remaining()];
         bytes.get(piece);
--- a/node/src/main/java/fawnlb/dialect/Prompt.java
+++ b/node/src/main/java/fawnlb/dialect/Prompt.java
@@ -10,7 +10,7 @@
 public record Prompt(String model, long maxTokens, boolean stream, String system, List<Turn> turns, String temperature,
                      String topP, List<String> stops, String user) {
     private static final long DEFAULT_MAX_TOKENS = 1024;
-    private static final long MOST_TOKENS = 1_000_000;
+    private static final long MAX_TOKENS = 1_000_000;
 
     /** One message of the conversation. */
     public record Turn(String role, String text) { }
@@ -93,8 +93,8 @@
             return DEFAULT_MAX_TOKENS;
         }
         long value = in.whole(name);
-        if (text == null || value < 1 || value > MOST_TOKENS) {
-            throw new Bad(name + ": a whole number from 1 to " + MOST_TOKENS + " is required");
+        if (text == null || value < 1 || value > MAX_TOKENS) {
+            throw new Bad(name + ": a whole number from 1 to " + MAX_TOKENS + " is required");
         }
         return value;
     }
--- a/node/src/main/java/fawnlb/dialect/SseParser.java
+++ b/node/src/main/java/fawnlb/dialect/SseParser.java
@@ -9,7 +9,7 @@
 
 /** Reads server-sent events from pieces of any size: CR, LF or CRLF, comments, data over several lines. */
 final class SseParser {
-    static final int LONGEST_EVENT = 256 * 1024;
+    static final int MAX_EVENT_BYTES = 256 * 1024;
 
     /** An event: its name, empty if it has none, and its data lines joined with line feeds. */
     record Event(String name, String data) { }
@@ -34,8 +34,8 @@
                 line.reset();
             } else {
                 line.write(b);
-                if (++size > LONGEST_EVENT) {
-                    throw new IOException("event longer than " + LONGEST_EVENT + " bytes");
+                if (++size > MAX_EVENT_BYTES) {
+                    throw new IOException("event longer than " + MAX_EVENT_BYTES + " bytes");
                 }
             }
         }
--- a/node/src/main/java/fawnlb/dialect/Translation.java
+++ b/node/src/main/java/fawnlb/dialect/Translation.java
@@ -8,7 +8,7 @@
 
 /** Turns one answer of a backend into the client's dialect as it comes; or only reads along, for its usage. */
 public final class Translation {
-    private static final int LONGEST_ANSWER = 1 << 20;
+    private static final int MAX_ANSWER_BYTES = 1 << 20;
 
     private final boolean stream;
     private final Dialect errorTo;
@@ -42,8 +42,8 @@
     /** What the client gets for these bytes, perhaps nothing yet. */
     public ByteBuffer feed(ByteBuffer bytes) throws IOException {
         if (!stream) {
-            if (whole.size() + bytes.remaining() > LONGEST_ANSWER) {
-                throw new IOException("answer longer than " + LONGEST_ANSWER + " bytes");
+            if (whole.size() + bytes.remaining() > MAX_ANSWER_BYTES) {
+                throw new IOException("answer longer than " + MAX_ANSWER_BYTES + " bytes");
             }
             byte[] part = new byte[bytes.remaining()];
             bytes.get(part);
--- a/node/src/main/java/fawnlb/discovery/MemberList.java
+++ b/node/src/main/java/fawnlb/discovery/MemberList.java
@@ -16,8 +16,8 @@
     /** A name would have to be looked up, on the thread that carries all flows and where there is nobody to ask. */
     private static final Pattern NUMERIC = Pattern.compile(
             "(((25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])(\\.(?=[0-9])|(?=:))){4}|\\[[0-9a-fA-F:.]{2,45}\\]):[0-9]{1,5}");
-    private static final int MOST_PORT = 0xffff;
-    private static final int LONGEST_QUOTE = 60;
+    private static final int MAX_PORT = 0xffff;
+    private static final int MAX_QUOTE_LENGTH = 60;
 
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -111,7 +111,7 @@
         }
         boolean numeric = NUMERIC.matcher(address).matches();
         int port = numeric ? Integer.parseInt(address.substring(colon + 1)) : 0;
-        if ((!numeric || port > MOST_PORT) && phase != Phase.GONE) {
+        if ((!numeric || port > MAX_PORT) && phase != Phase.GONE) {
             throw new IOException("member '" + cut(id) + "' has no numeric address and port in '" + cut(address) + "'");
         }
         return new Member(id, numeric ? address.substring(0, colon) : "", port, zone, kind, cell, phase, size, since);
@@ -119,7 +119,7 @@
 
     /** A fault is one line in the log, whatever was sent. */
     private static String cut(String text) {
-        return text.substring(0, Math.min(LONGEST_QUOTE, text.length()));
+        return text.substring(0, Math.min(MAX_QUOTE_LENGTH, text.length()));
     }
 
     /** An unknown phase counts as draining: nothing new is sent to what is not known to be ready. */
--- a/node/src/main/java/fawnlb/http/BodyReader.java
+++ b/node/src/main/java/fawnlb/http/BodyReader.java
@@ -26,7 +26,7 @@
  * its limit, which ends the process, and it passes over chunks that can't be read.
  */
 public final class BodyReader {
-    private static final int LARGEST_BODY = 256 * 1024;
+    private static final int MAX_BODY_BYTES = 256 * 1024;
     private static final int FIRST_ROOM = 8 * 1024;
     /** A client that stops half-way through its body is owed an error within 3 s of its connect. */
     private static final long PATIENCE_MS = 2000;
@@ -75,14 +75,14 @@
                 next.proceed();
             });
             long length = Math.max(0, exchange.getRequestContentLength());
-            if (length > LARGEST_BODY) {
+            if (length > MAX_BODY_BYTES) {
                 refuse(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "the body is over 256 KiB");
             } else if (exchange.isRequestComplete()) {
                 done = true;
                 taken.accept(exchange, new byte[0]);
             } else {
                 content = exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)
-                        ? Content.chunked(LARGEST_BODY) : Content.fixed(length);
+                        ? Content.chunked(MAX_BODY_BYTES) : Content.fixed(length);
                 patience = exchange.getIoThread().executeAfter(
                         () -> refuse(StatusCodes.REQUEST_TIME_OUT, "the body did not come"), PATIENCE_MS, TimeUnit.MILLISECONDS);
                 connection.getChannel().getSourceChannel().setReadListener(c -> read());
@@ -167,7 +167,7 @@
         }
 
         private void grow() throws ContentFault {
-            int larger = Math.min(LARGEST_BODY, Math.max(FIRST_ROOM, 2 * held));
+            int larger = Math.min(MAX_BODY_BYTES, Math.max(FIRST_ROOM, 2 * held));
             if (larger == held) {
                 throw new ContentFault(StatusCodes.REQUEST_ENTITY_TOO_LARGE, "the body is over 256 KiB");
             }
--- a/node/src/main/java/fawnlb/http/Content.java
+++ b/node/src/main/java/fawnlb/http/Content.java
@@ -10,12 +10,12 @@
  */
 final class Content {
     /** A chunk's size with its extensions, or all trailers. */
-    private static final int LONGEST_LINES = 4096;
-    private static final int MOST_DIGITS = 15;
+    private static final int MAX_LINES_BYTES = 4096;
+    private static final int MAX_DIGITS = 15;
 
     private enum State { FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, TO_CLOSE, DONE }
 
-    private final Lines lines = new Lines(LONGEST_LINES, true);
+    private final Lines lines = new Lines(MAX_LINES_BYTES, true);
     private final long largest;
     private State state;
     private long left;
@@ -112,7 +112,7 @@
     }
 
     private static long number(String text, int radix) throws IOException {
-        boolean plain = !text.isEmpty() && text.length() <= MOST_DIGITS
+        boolean plain = !text.isEmpty() && text.length() <= MAX_DIGITS
                 && text.chars().allMatch(c -> c < 0x80 && Character.digit(c, radix) >= 0);
         if (!plain) {
             throw new IOException("not a length: '" + text.substring(0, Math.min(40, text.length())) + "'");
--- a/node/src/main/java/fawnlb/http/ResponseParser.java
+++ b/node/src/main/java/fawnlb/http/ResponseParser.java
@@ -13,12 +13,12 @@
  */
 final class ResponseParser {
     /** All heads of a response together, those of 1xx answers ahead of it too: a head that never ends is an error. */
-    private static final int LONGEST_HEADS = 16 * 1024;
+    private static final int MAX_HEADS_BYTES = 16 * 1024;
     private static final String VERSION = "HTTP/1.";
     /** Backends send events of a few hundred bytes each; one chunk of gigabytes is noise. */
-    private static final long LARGEST_CHUNK = 1 << 20;
+    private static final long MAX_CHUNK_BYTES = 1 << 20;
 
-    private final Lines lines = new Lines(LONGEST_HEADS, false);
+    private final Lines lines = new Lines(MAX_HEADS_BYTES, false);
     private Map<String, String> headers = new HashMap<>();
     private String lastHeader;
     private boolean statusRead;
@@ -131,7 +131,7 @@
             return Content.fixed(0);
         }
         if (coding != null) {
-            return Content.chunked(LARGEST_CHUNK);
+            return Content.chunked(MAX_CHUNK_BYTES);
         }
         if (length != null) {
             return Content.fixed(Content.length(length));
--- a/node/src/main/java/fawnlb/membership/SubscriptionSchedule.java
+++ b/node/src/main/java/fawnlb/membership/SubscriptionSchedule.java
@@ -27,7 +27,7 @@
     /** The pause doubles with each failure, up to this exponent. */
     private static final int MAX_DOUBLINGS = 4;
     /** Later pauses are this part of the longest one at least: a node calls once a second at most, and its phase is kept. */
-    private static final double LEAST_PART = 10.0 / 11;
+    private static final double MIN_PART = 10.0 / 11;
 
     private final int nodes;
     private final long askWithin;
@@ -70,7 +70,7 @@
     private long pause() {
         long spread = Math.min(askWithin / 5, nodes * (SECOND / CALLS_PER_SECOND));
         spread = Math.min(spread << Math.min(failedCalls, MAX_DOUBLINGS), MAX_PAUSE);
-        long least = failedCalls > 0 ? (long) (spread * LEAST_PART) : 0;
+        long least = failedCalls > 0 ? (long) (spread * MIN_PART) : 0;
         return least + (long) (random.getAsDouble() * (spread - least));
     }
 
--- a/node/src/main/java/fawnlb/messages/MessagesFront.java
+++ b/node/src/main/java/fawnlb/messages/MessagesFront.java
@@ -33,7 +33,7 @@
     private static final HttpString REQUEST_ID = new HttpString("request-id");
     private static final int MAILBOX = 64;
     private static final long NO_ROOM_RETRY = 1_000_000_000;
-    private static final long LONGEST_WAIT_MS = 86_400_000;
+    private static final long MAX_WAIT_MS = 86_400_000;
 
     private final Flows flows;
     private final BodyReader bodies;
@@ -179,7 +179,7 @@
         if (text == null) {
             return contract.deadline();
         }
-        if (!text.matches("[0-9]{1,8}") || Long.parseLong(text) > LONGEST_WAIT_MS) {
+        if (!text.matches("[0-9]{1,8}") || Long.parseLong(text) > MAX_WAIT_MS) {
             throw new IllegalArgumentException("X-Deadline-Ms: expected whole milliseconds up to a day");
         }
         return Math.min(contract.deadline(), Long.parseLong(text) * 1_000_000);
--- a/node/src/main/java/fawnlb/snapshot/SnapshotCodec.java
+++ b/node/src/main/java/fawnlb/snapshot/SnapshotCodec.java
@@ -23,7 +23,7 @@
     /** Raised when a reader of the former version would misread the file. */
     static final int VERSION = 1;
     /** A list of ten thousand backends takes about 2 MB; what claims more than this is not a list. */
-    static final int MOST_BYTES = 16 << 20;
+    static final int MAX_BYTES = 16 << 20;
     private static final int MAGIC = 0x46574e4c;
     private static final int HEAD = 10;
     private static final int SUM = 4;
--- a/node/src/main/java/fawnlb/snapshot/SnapshotStore.java
+++ b/node/src/main/java/fawnlb/snapshot/SnapshotStore.java
@@ -79,7 +79,7 @@
     /** One file, whichever generation it is. */
     public static Snapshot read(Path path) throws IOException {
         try (FileChannel in = FileChannel.open(path, StandardOpenOption.READ)) {
-            if (in.size() > SnapshotCodec.MOST_BYTES) {
+            if (in.size() > SnapshotCodec.MAX_BYTES) {
                 throw new SnapshotCodec.Damaged("too large to be a snapshot: " + in.size() + " bytes");
             }
             ByteBuffer bytes = ByteBuffer.allocate((int) in.size());
--- a/node/src/main/java/fawnlb/stream/Excess.java
+++ b/node/src/main/java/fawnlb/stream/Excess.java
@@ -14,7 +14,7 @@
     private static final double WEIGHT = 20;
     private static final double MEMORY = 1000;
     /** Where the moments come close to those of one single value, the estimate means nothing. */
-    private static final double MOST_ALIKE = 0.75;
+    private static final double MAX_ALIKE = 0.75;
     private static final double NO_INDEX = 1e-6;
 
     private double mean = HEAVY;
@@ -33,7 +33,7 @@
 
     /** How many times its threshold a value is that is exceeded by one in {@code e^further} of those beyond it. */
     double times(double further) {
-        double negative = Math.min(0, 1 - 0.5 / (1 - Math.min(MOST_ALIKE, mean * mean / square)));
+        double negative = Math.min(0, 1 - 0.5 / (1 - Math.min(MAX_ALIKE, mean * mean / square)));
         double index = (HEAVY * WEIGHT + (mean + negative) * seen) / (WEIGHT + seen);
         double grown = Math.abs(index) < NO_INDEX ? further : Math.expm1(Math.min(100, index * further)) / index;
         return 1 + mean * (1 - negative) * grown;
--- a/node/src/main/java/fawnlb/stream/UpperTail.java
+++ b/node/src/main/java/fawnlb/stream/UpperTail.java
@@ -13,7 +13,7 @@
     private static final double BEYOND = 0.1;
     private static final double PHI_OF_THRESHOLD = -Math.log10(BEYOND);
     /** Steps of the threshold: long ones at first, then such as forget within some hundred values. */
-    private static final double LEAST_STEP = 0.04;
+    private static final double MIN_STEP = 0.04;
     /** The threshold's first steps say nothing of the tail. */
     private static final int SETTLED = 20;
 
@@ -44,7 +44,7 @@
         if (log > threshold && seen > SETTLED) {
             excess.add(log + further - threshold);
         }
-        threshold += Math.max(LEAST_STEP, 1.0 / seen) * (log > threshold ? 1 - BEYOND : -BEYOND);
+        threshold += Math.max(MIN_STEP, 1.0 / seen) * (log > threshold ? 1 - BEYOND : -BEYOND);
     }
 
     long seen() {
--- a/node/src/main/java/fawnlb/syslog/SyslogRecord.java
+++ b/node/src/main/java/fawnlb/syslog/SyslogRecord.java
@@ -10,8 +10,8 @@
 /** Formats records as RFC 5424 wants them, with one element of structured data. */
 public final class SyslogRecord {
     /** RFC 5424, 6.1: a receiver should be able to take so many octets. */
-    static final int LONGEST = 2048;
-    private static final int LONGEST_VALUE = 256;
+    static final int MAX_RECORD_BYTES = 2048;
+    private static final int MAX_VALUE_LENGTH = 256;
     private static final DateTimeFormatter TIME =
             DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
 
@@ -33,16 +33,16 @@
         String head = "<" + (facility * 8 + severity) + ">1 " + TIME.format(time) + ' ' + host + ' ' + app + ' ' + process
                 + ' ' + header(messageId, 32) + ' ';
         StringBuilder structured = new StringBuilder("[").append(name(element));
-        int room = LONGEST - head.length() - 1;
+        int room = MAX_RECORD_BYTES - head.length() - 1;
         for (Map.Entry<String, String> entry : data.entrySet()) {
-            String parameter = ' ' + name(entry.getKey()) + "=\"" + escape(cut(entry.getValue(), LONGEST_VALUE)) + '"';
+            String parameter = ' ' + name(entry.getKey()) + "=\"" + escape(cut(entry.getValue(), MAX_VALUE_LENGTH)) + '"';
             if (bytes(structured.toString()) + bytes(parameter) <= room) {
                 structured.append(parameter);
             }
         }
         byte[] all = (head + structured.append(']') + (message.isEmpty() ? "" : ' ' + message.replace('\n', ' ')))
                 .getBytes(StandardCharsets.UTF_8);
-        return all.length <= LONGEST ? all : Arrays.copyOf(all, boundary(all, LONGEST));
+        return all.length <= MAX_RECORD_BYTES ? all : Arrays.copyOf(all, boundary(all, MAX_RECORD_BYTES));
     }
 
     private static int bytes(String text) {
--- a/node/src/main/java/fawnlb/syslog/SyslogSender.java
+++ b/node/src/main/java/fawnlb/syslog/SyslogSender.java
@@ -20,7 +20,7 @@
  * that finds no room is dropped and counted; nothing waits for the collector.
  */
 public final class SyslogSender {
-    private static final int MOST_WAITING = 512;
+    private static final int MAX_WAITING = 512;
     private static final long RECONNECT = 1_000_000_000L;
 
     private final XnioIoThread thread;
@@ -51,7 +51,7 @@
                 datagram(record);
                 return;
             }
-            if (waiting.size() >= MOST_WAITING) {
+            if (waiting.size() >= MAX_WAITING) {
                 dropped++;
                 return;
             }
--- a/node/src/main/java/fawnlb/wire/Frames.java
+++ b/node/src/main/java/fawnlb/wire/Frames.java
@@ -9,7 +9,7 @@
 /** Reads frames of the simulator's wire and the fields of their records, and says where a bad one stands. */
 final class Frames {
     static final int HEADER = 16;
-    private static final int MOST_BYTES = 1 << 30;
+    private static final int MAX_BYTES = 1 << 30;
 
     private final InputStream in;
     private long frameAt;
@@ -45,7 +45,7 @@
         records = head.getInt();
         int length = head.getInt();
         clock = head.getLong();
-        if (length < 0 || length > MOST_BYTES || records < 0 || records > length) {
+        if (length < 0 || length > MAX_BYTES || records < 0 || records > length) {
             throw new BadFrame("impossible batch: " + Integer.toUnsignedString(records) + " records in "
                     + Integer.toUnsignedString(length) + " bytes", frameAt);
         }
--- a/node/src/main/java/fawnlb/wire/Reply.java
+++ b/node/src/main/java/fawnlb/wire/Reply.java
@@ -11,7 +11,7 @@
 /** Gathers the actions of one batch and writes them as one reply. */
 final class Reply {
     private static final int HEADER = 8;
-    private static final int LONGEST_TEXT = 0xffff;
+    private static final int MAX_TEXT_LENGTH = 0xffff;
 
     private ByteBuffer out = ByteBuffer.allocate(1 << 16).order(ByteOrder.LITTLE_ENDIAN);
     private int records;
@@ -69,7 +69,7 @@
 
     private void text(int code, int instance, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        int n = Math.min(bytes.length, LONGEST_TEXT);
+        int n = Math.min(bytes.length, MAX_TEXT_LENGTH);
         record(code, instance, 2 + n);
         out.putShort((short) n).put(bytes, 0, n);
     }
--- a/node/src/test/java/fawnlb/syslog/SyslogRecordTest.java
+++ b/node/src/test/java/fawnlb/syslog/SyslogRecordTest.java
@@ -42,7 +42,7 @@
         byte[] all = new SyslogRecord(23, "h".repeat(300), "a".repeat(60), "p").format(7, TIME, "i".repeat(40), "e", data,
                 "m".repeat(3000));
         String text = new String(all, StandardCharsets.UTF_8);
-        assertTrue(all.length <= SyslogRecord.LONGEST);
+        assertTrue(all.length <= SyslogRecord.MAX_RECORD_BYTES);
         String[] parts = text.split(" ");
         assertEquals(255, parts[2].length());
         assertEquals(48, parts[3].length());
