--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -129,21 +129,15 @@
 
     synchronized void start() throws IOException {
         Settings settings = config.settings();
-        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.THREAD_DAEMON, false).getMap());
+        worker = createWorker();
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
         connections = new Connections(clientShare(config), IDLE, timers);
         Streams streams = new Streams(stream.rules());
-        BackendPool backends = new BackendPool(thread, timers, new BackendPool.Limits(settings.connections().timeout(),
-                settings.connections().idle(), REST, PROBE, backendShare(config), settings.reportFields()), streams);
+        BackendPool backends = createBackends(thread, timers, streams);
         Remembered remembered = Remembered.read(start, config.known(), timers.now());
         Recorder recorder = recorder(thread, timers, remembered);
-        List<View> views = new ArrayList<>(recorder == null ? List.of() : List.of(recorder));
-        if (!start.believed()) {
-            views.add(new Probation(start.probation(), config.seed(), remembered.heard(), LOG::info));
-        }
+        List<View> views = views(recorder, remembered);
         Flows[] core = new Flows[1];
         discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(), (kind, list) -> {
             if (recorder != null) {
@@ -165,21 +159,49 @@
             front.heard();
         }
         discovery.known(remembered.list());
+        openFronts(bodies, ids, thread, timers);
+        openAdmin(new AdminFront(streams, backends::address), timers);
+        watch(thread, timers);
+        started = true;
+        LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
+    }
+
+    private void openFronts(BodyReader bodies, OpenIds ids, XnioIoThread thread, IoTimers timers) throws IOException {
         int each = connections.mostAccepted() / (broker == null ? 1 : 2);
         listen(config.listen(), front, each);
         if (broker != null) {
-            listen(broker.listen(), new MessagesFront(flows, bodies, ids, settings, broker.contracts(), timers,
+            listen(broker.listen(), new MessagesFront(flows, bodies, ids, config.settings(), broker.contracts(), timers,
                     flowLog(thread, timers)), each);
         }
+    }
+
+    private void openAdmin(AdminFront admin, IoTimers timers) throws IOException {
         if (stream.admin() != null) {
-            listen(stream.admin(), new AdminFront(streams, backends::address), OPERATORS);
+            listen(stream.admin(), admin, OPERATORS);
         }
         if (stream.figuresEvery() > 0) {
-            new AdminFront(streams, backends::address).logEvery(stream.figuresEvery(), timers);
+            admin.logEvery(stream.figuresEvery(), timers);
         }
-        watch(thread, timers);
-        started = true;
-        LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
+    }
+
+    private List<View> views(Recorder recorder, Remembered remembered) {
+        List<View> views = new ArrayList<>(recorder == null ? List.of() : List.of(recorder));
+        if (!start.believed()) {
+            views.add(new Probation(start.probation(), config.seed(), remembered.heard(), LOG::info));
+        }
+        return views;
+    }
+
+    private XnioWorker createWorker() throws IOException {
+        return Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.THREAD_DAEMON, false).getMap());
+    }
+
+    private BackendPool createBackends(XnioIoThread thread, IoTimers timers, Streams streams) {
+        Settings settings = config.settings();
+        return new BackendPool(thread, timers, new BackendPool.Limits(settings.connections().timeout(),
+                settings.connections().idle(), REST, PROBE, backendShare(config), settings.reportFields()), streams);
     }
 
     private void watch(XnioIoThread thread, IoTimers timers) {
--- a/node/src/main/java/fawnlb/dialect/PieceReader.java
+++ b/node/src/main/java/fawnlb/dialect/PieceReader.java
@@ -4,9 +4,14 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /** Reads the pieces of an answer out of one dialect's events or whole answer. */
 final class PieceReader {
+    /** The events of the messages interface that are known here. */
+    private static final Set<String> MESSAGE_EVENTS = Set.of("message_start", "content_block_start", "content_block_delta",
+            "content_block_stop", "message_delta", "message_stop", "ping", "error");
+
     private final Dialect dialect;
     private boolean started;
     private String reason = "end_turn";
@@ -78,11 +83,13 @@
             in = Fields.parse(event.data());
             name = in.text("type", "");
         }
-        if (!List.of("message_start", "content_block_start", "content_block_delta", "content_block_stop", "message_delta",
-                "message_stop", "ping", "error").contains(name)) {
+        if (!MESSAGE_EVENTS.contains(name)) {
             return List.of(new Piece.Unknown());
         }
-        in = in == null ? Fields.parse(event.data()) : in;
+        return message(name, in == null ? Fields.parse(event.data()) : in);
+    }
+
+    private List<Piece> message(String name, Fields in) {
         switch (name) {
             case "message_start" -> {
                 messageUsage(in, "message.usage");
--- a/node/src/main/java/fawnlb/dialect/Prompt.java
+++ b/node/src/main/java/fawnlb/dialect/Prompt.java
@@ -147,25 +147,7 @@
             out.writeEndArray();
             number(out, "temperature", temperature);
             number(out, "top_p", topP);
-            if (!stops.isEmpty()) {
-                out.writeArrayFieldStart(dialect == Dialect.CHAT ? "stop" : "stop_sequences");
-                for (String stop : stops) {
-                    out.writeString(stop);
-                }
-                out.writeEndArray();
-            }
-            if (dialect == Dialect.CHAT && stream) {
-                out.writeObjectFieldStart("stream_options");
-                out.writeBooleanField("include_usage", true);
-                out.writeEndObject();
-            }
-            if (user != null && dialect == Dialect.CHAT) {
-                out.writeStringField("user", user);
-            } else if (user != null) {
-                out.writeObjectFieldStart("metadata");
-                out.writeStringField("user_id", user);
-                out.writeEndObject();
-            }
+            writeOptions(out, dialect);
             out.writeEndObject();
         } catch (IOException e) {
             throw new IllegalStateException("writing to memory failed", e);
@@ -173,6 +155,28 @@
         return bytes.toByteArray();
     }
 
+    private void writeOptions(JsonGenerator out, Dialect dialect) throws IOException {
+        if (!stops.isEmpty()) {
+            out.writeArrayFieldStart(dialect == Dialect.CHAT ? "stop" : "stop_sequences");
+            for (String stop : stops) {
+                out.writeString(stop);
+            }
+            out.writeEndArray();
+        }
+        if (dialect == Dialect.CHAT && stream) {
+            out.writeObjectFieldStart("stream_options");
+            out.writeBooleanField("include_usage", true);
+            out.writeEndObject();
+        }
+        if (user != null && dialect == Dialect.CHAT) {
+            out.writeStringField("user", user);
+        } else if (user != null) {
+            out.writeObjectFieldStart("metadata");
+            out.writeStringField("user_id", user);
+            out.writeEndObject();
+        }
+    }
+
     private static void turn(JsonGenerator out, String role, String text) throws IOException {
         out.writeStartObject();
         out.writeStringField("role", role);
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -253,33 +253,43 @@
             }
         }));
         boolean again = type(flow).effect() == Balancer.Effect.SAFE && flow.attempts < settings.limits().attempts();
-        out.attempt = backends.attempt(send.replica(), flow.ask, stopAt, sendBy(flow), again,
-                new Backends.Report() {
-                    @Override
-                    public boolean wanted() {
-                        return !flow.over && flow.client.present();
-                    }
-
-                    @Override
-                    public void started(Source source) {
-                        mailbox.tellOrFail(() -> Flows.this.started(flow, out, source), () -> abandon(flow));
-                    }
-
-                    @Override
-                    public void rejected(Source source) {
-                        mailbox.tellOrFail(() -> Flows.this.rejected(flow, out, source), () -> abandon(flow));
-                    }
-
-                    @Override
-                    public void parked() {
-                        mailbox.tell(() -> Flows.this.parked(flow, out), () -> abandon(flow));
-                    }
-
-                    @Override
-                    public void ended(Ending ending, long kept, List<Double> load) {
-                        mailbox.tellOrFail(() -> Flows.this.ended(flow, out, ending, kept, load), () -> abandon(flow));
-                    }
-                });
+        out.attempt = backends.attempt(send.replica(), flow.ask, stopAt, sendBy(flow), again, new AttemptReport(flow, out));
+    }
+
+    /** What becomes of one attempt, handed on to the core's mailbox. */
+    private final class AttemptReport implements Backends.Report {
+        private final Flow flow;
+        private final Out out;
+
+        AttemptReport(Flow flow, Out out) {
+            this.flow = flow;
+            this.out = out;
+        }
+
+        @Override
+        public boolean wanted() {
+            return !flow.over && flow.client.present();
+        }
+
+        @Override
+        public void started(Source source) {
+            mailbox.tellOrFail(() -> Flows.this.started(flow, out, source), () -> abandon(flow));
+        }
+
+        @Override
+        public void rejected(Source source) {
+            mailbox.tellOrFail(() -> Flows.this.rejected(flow, out, source), () -> abandon(flow));
+        }
+
+        @Override
+        public void parked() {
+            mailbox.tell(() -> Flows.this.parked(flow, out), () -> abandon(flow));
+        }
+
+        @Override
+        public void ended(Ending ending, long kept, List<Double> load) {
+            mailbox.tellOrFail(() -> Flows.this.ended(flow, out, ending, kept, load), () -> abandon(flow));
+        }
     }
 
     private Balancer.RequestClass type(Flow flow) {
--- a/node/src/main/java/fawnlb/messages/MessagesFront.java
+++ b/node/src/main/java/fawnlb/messages/MessagesFront.java
@@ -114,14 +114,8 @@
             refusal.say(StatusCodes.BAD_REQUEST, e.getMessage(), 0);
             return;
         }
-        String objection = contract.objection(record.requestClass(), prompt.model());
-        if (objection != null) {
-            refusal.say(StatusCodes.FORBIDDEN, objection, 0);
-            return;
-        }
         long wanted = prompt.promptTokens() + prompt.maxTokens();
-        if (!contract.budget().holds(wanted)) {
-            refusal.say(StatusCodes.BAD_REQUEST, "the request is larger than the team's whole budget", 0);
+        if (!allowed(contract, record, prompt, wanted, refusal)) {
             return;
         }
         if (!ids.open(record.id(), exchange)) {
@@ -135,8 +129,25 @@
             return;
         }
         exchange.getResponseHeaders().put(REQUEST_ID, record.id());
-        BrokerReplies replies = new BrokerReplies(record, prompt.stream(), tally, log, timers,
-                taken -> contract.budget().settle(bookedAt, wanted, taken < 0 ? wanted : taken));
+        serve(exchange, ask, new BrokerReplies(record, prompt.stream(), tally, log, timers,
+                taken -> contract.budget().settle(bookedAt, wanted, taken < 0 ? wanted : taken)));
+    }
+
+    /** Whether the team's contract allows the request at all; if not, it has been refused. */
+    private static boolean allowed(Contract contract, FlowRecord record, Prompt prompt, long wanted, Refusal refusal) {
+        String objection = contract.objection(record.requestClass(), prompt.model());
+        if (objection != null) {
+            refusal.say(StatusCodes.FORBIDDEN, objection, 0);
+            return false;
+        }
+        if (!contract.budget().holds(wanted)) {
+            refusal.say(StatusCodes.BAD_REQUEST, "the request is larger than the team's whole budget", 0);
+            return false;
+        }
+        return true;
+    }
+
+    private void serve(HttpServerExchange exchange, Ask ask, BrokerReplies replies) {
         ClientExchange client = new ClientExchange(exchange, new Mailbox(exchange.getIoThread(), MAILBOX), replies);
         Flows.Ticket ticket = flows.take(ask, client);
         if (ticket == null) {
--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -129,17 +129,7 @@
         for (Replica replica : news.replicas()) {
             Node node = nodes.computeIfAbsent(replica.id(), Node::new);
             boolean listed = replica.phase() != Phase.GONE;
-            if (replica.readyAt() != node.readyAt) {
-                restarted(node, replica.readyAt());
-            }
-            if (replica.phase() == Phase.DRAINING && node.phase == Phase.READY) {
-                drains();
-            }
-            node.phase = replica.phase();
-            node.zone = replica.zone();
-            node.cell = replica.cell();
-            node.kind = replica.kind();
-            node.room = replica.room();
+            update(node, replica);
             node.visit = mark;
             if (listed && !node.onRing) {
                 node.onRing = true;
@@ -147,14 +137,7 @@
             }
             left |= !listed;
         }
-        if (whole) {
-            for (Node node : nodes.values()) {
-                if (node.visit != mark && node.phase != Phase.GONE) {
-                    node.phase = Phase.GONE;
-                    left = true;
-                }
-            }
-        }
+        left |= whole && leaveOut(mark);
         if (!joined.isEmpty()) {
             insert(joined);
         }
@@ -168,6 +151,32 @@
         serveHeld();
     }
 
+    /** A whole list names those that are gone by leaving them out. */
+    private boolean leaveOut(long mark) {
+        boolean left = false;
+        for (Node node : nodes.values()) {
+            if (node.visit != mark && node.phase != Phase.GONE) {
+                node.phase = Phase.GONE;
+                left = true;
+            }
+        }
+        return left;
+    }
+
+    private void update(Node node, Replica replica) {
+        if (replica.readyAt() != node.readyAt) {
+            restarted(node, replica.readyAt());
+        }
+        if (replica.phase() == Phase.DRAINING && node.phase == Phase.READY) {
+            drains();
+        }
+        node.phase = replica.phase();
+        node.zone = replica.zone();
+        node.cell = replica.cell();
+        node.kind = replica.kind();
+        node.room = replica.room();
+    }
+
     /** The last timer that was set counts: if all did, each call that fails would leave two behind. */
     private void wakeForList(long at) {
         sink.act(new Timer(at, LIST_TIMER));
