Set a discovery call's timer in one place, and read a reset and an end alike

From a second reading: the wait for an answer and the wait for a heartbeat each cancelled and set the same timer; a reset and the end of a connection were two branches of the same call; three tests repeated their set-up. Behaviour and assertions as before.

--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -141,7 +141,7 @@
         }
 
         void begin() {
-            expect(ANSWER);
+            expectAnswer();
             Connection.open(thread, timers, address, CONNECT, opened -> {
                 connection = opened;
                 if (opened == null) {
@@ -155,20 +155,21 @@
             });
         }
 
-        private void expect(long time) {
-            if (patience != null) {
-                patience.cancel();
-            }
-            patience = timers.after(time, () -> mailbox.tell(() -> fail("silent")));
+        private void expectAnswer() {
+            wakeAfter(ANSWER, () -> fail("silent"));
         }
 
         /** The next heartbeat, or the rest of a line, is due. */
         private void expectHeartbeat() {
+            wakeAfter(SILENCE - SECOND_LOOK, () -> wakeAfter(SECOND_LOOK, this::missesHeartbeat));
+        }
+
+        /** One timer for a call: the last one that was set counts. */
+        private void wakeAfter(long time, Runnable then) {
             if (patience != null) {
                 patience.cancel();
             }
-            patience = timers.after(SILENCE - SECOND_LOOK, () -> mailbox.tell(() ->
-                    patience = timers.after(SECOND_LOOK, () -> mailbox.tell(this::missesHeartbeat))));
+            patience = timers.after(time, () -> mailbox.tell(then));
         }
 
         /** Counts as a call that failed, so that the next one is made; drops nothing, for a false alarm costs nothing then. */
--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -189,12 +189,8 @@
                 close();
                 return;
             }
-            if (n == RESET) {
-                finish(false, Break.CLOSED);
-                return;
-            }
             if (n < 0) {
-                finish(parser.eof(), Break.CLOSED);
+                finish(n != RESET && parser.eof(), Break.CLOSED);
                 return;
             }
             in.flip();
--- a/node/src/test/java/fawnlb/backend/BackendPoolTest.java
+++ b/node/src/test/java/fawnlb/backend/BackendPoolTest.java
@@ -131,10 +131,7 @@
             });
             try (Socket first = server.accept()) {
                 Socket socket = phases.length > 0 && phases[0] == Phase.GONE ? server.accept() : first;
-                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
-                in.readLine();
-                in.readLine();
-                assertEquals("X-Request-Id: next", in.readLine());
+                readRequest(socket, "next");
                 assertEquals("nothing came before", -1, first == socket ? -1 : first.getInputStream().read());
             }
         }
@@ -161,23 +158,26 @@
         notSentAfter(Long.MAX_VALUE, false);
     }
 
-    /** The I/O thread is kept busy between the decision and the moment at which the connection can be written to. */
-    private void busyFor(long nanos) {
-        long until = timers.now() + nanos;
-        while (timers.now() < until) {
-            Thread.onSpinWait();
-        }
+    /**
+     * An attempt that has this long; the I/O thread is kept busy for 0.2 s between the decision and the moment at which the
+     * connection can be written to.
+     */
+    private void attemptWhileBusy(ServerSocket server, long patience) {
+        InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        thread.execute(() -> {
+            pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
+            attempt(1, timers.now() + patience, Long.MAX_VALUE, "late");
+            long until = timers.now() + SECOND / 5;
+            while (timers.now() < until) {
+                Thread.onSpinWait();
+            }
+        });
     }
 
     @Test
     public void deadlineToldToServerIsWhatIsLeftWhenRequestIsWritten() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
-            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
-            thread.execute(() -> {
-                pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
-                attempt(1, timers.now() + SECOND, Long.MAX_VALUE, "late");
-                busyFor(SECOND / 5);
-            });
+            attemptWhileBusy(server, SECOND);
             try (Socket socket = server.accept()) {
                 BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
                 String line = in.readLine();
@@ -193,22 +193,16 @@
     @Test
     public void requestWhoseDeadlineHasPassedWhenItsConnectionIsUpIsNotSent() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
-            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
-            thread.execute(() -> {
-                pool.place(1, address, 0, Phase.READY, Dialect.CHAT);
-                attempt(1, timers.now() + SECOND / 10, Long.MAX_VALUE, "late");
-                busyFor(SECOND / 5);
-            });
+            attemptWhileBusy(server, SECOND / 10);
             assertEquals("not-sent", ends.poll(10, TimeUnit.SECONDS));
         }
     }
 
-    private static BufferedReader readRequest(Socket socket, String id) throws IOException {
+    private static void readRequest(Socket socket, String id) throws IOException {
         BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
         in.readLine();
         in.readLine();
         assertEquals("X-Request-Id: " + id, in.readLine());
-        return in;
     }
 
     /** The second answer comes after the next request was sent: on one connection it would pass for that one's answer. */
--- a/node/src/test/java/fawnlb/discovery/ToldTest.java
+++ b/node/src/test/java/fawnlb/discovery/ToldTest.java
@@ -63,6 +63,22 @@
             module.on(now, new Listed(kind, 1, List.of()));
         }
 
+        /** It has called once and was answered. */
+        Node following() {
+            call();
+            tell(ListKind.DELTA);
+            return this;
+        }
+
+        /** So many times it was told of a failure and has called again. */
+        Node afterFailures(int failures) {
+            for (int i = 0; i < failures; i++) {
+                tell(ListKind.FAILED);
+                call();
+            }
+            return this;
+        }
+
         /** When it calls next. */
         long call() {
             for (int before = calls.size(); calls.size() == before;) {
@@ -81,13 +97,7 @@
                 for (long askWithin : new long[] {4 * S, 10 * S, 60 * S}) {
                     for (int failures = 0; failures < 7; failures++) {
                         for (long seed = 0; seed < 40; seed++) {
-                            Node node = new Node(routers, askWithin, seed);
-                            node.call();
-                            node.tell(ListKind.DELTA);
-                            for (int i = 0; i < failures; i++) {
-                                node.tell(ListKind.FAILED);
-                                node.call();
-                            }
+                            Node node = new Node(routers, askWithin, seed).following().afterFailures(failures);
                             long could = node.now;
                             node.now += path.knows();
                             node.tell(ListKind.FAILED);
@@ -120,13 +130,7 @@
             for (int routers : new int[] {1, 6, 30, 100, 1024}) {
                 for (int before : new int[] {0, 1, 6}) {
                     for (long seed = 0; seed < 40; seed++) {
-                        Node node = new Node(routers, 10 * S, seed);
-                        node.call();
-                        node.tell(ListKind.DELTA);
-                        for (int i = 0; i < before; i++) {
-                            node.tell(ListKind.FAILED);
-                            node.call();
-                        }
+                        Node node = new Node(routers, 10 * S, seed).following().afterFailures(before);
                         long could = node.now;
                         for (long knows : sequence.knows()) {
                             node.now += knows;
