Accept on the I/O thread, and end half a head by the monotonic clock

At fault: Node.listen (XNIO's server and REQUEST_PARSE_TIMEOUT) and Listeners.close. Ruled out: no option of XNIO sets its pause.

Connections ends heads 2 s after their first byte, also one that came with the request before.

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -3,11 +3,13 @@
 import fawnlb.actor.IoTimers;
 import fawnlb.actor.IoTurn;
 import fawnlb.actor.Mailbox;
+import fawnlb.actor.Timers;
 import fawnlb.actor.Watchdog;
 import fawnlb.admin.AdminFront;
 import fawnlb.backend.BackendPool;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.Connections;
+import fawnlb.client.Listener;
 import fawnlb.client.Listeners;
 import fawnlb.client.OpenIds;
 import fawnlb.client.Replies;
@@ -50,17 +52,15 @@
 import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
-import org.xnio.ChannelListener;
-import org.xnio.ChannelListeners;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 
 /** One running node: its actors, all on one I/O thread, and its planned end. */
 final class Node {
@@ -86,7 +86,7 @@
      */
     private static final int MAX_HEAD_BYTES = 8 * 1024;
     private static final int MAX_HEADERS = 64;
-    private static final int HEAD_MS = 2000;
+    private static final long HEAD = 2 * SECOND;
     /** A connection without a request may be closed after 2 s, and one that stays silent must be within 3 s. */
     private static final long IDLE = 2300 * SECOND / 1000;
     private static final int BACKLOG = 1000;
@@ -132,7 +132,7 @@
         worker = createWorker();
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
-        connections = new Connections(clientShare(config), IDLE, timers);
+        connections = new Connections(new Connections.Limits(clientShare(config), IDLE, HEAD), timers);
         Streams streams = new Streams(stream.rules());
         BackendPool backends = createBackends(thread, timers, streams);
         Remembered remembered = Remembered.read(start, config.known(), timers.now());
@@ -168,16 +168,16 @@
 
     private void openFronts(BodyReader bodies, OpenIds ids, XnioIoThread thread, IoTimers timers) throws IOException {
         int each = connections.mostAccepted() / (broker == null ? 1 : 2);
-        listen(config.listen(), front, each);
+        listen(config.listen(), front, each, timers);
         if (broker != null) {
             listen(broker.listen(), new MessagesFront(flows, bodies, ids, config.settings(), broker.contracts(), timers,
-                    flowLog(thread, timers)), each);
+                    flowLog(thread, timers)), each, timers);
         }
     }
 
     private void openAdmin(AdminFront admin, IoTimers timers) throws IOException {
         if (stream.admin() != null) {
-            listen(stream.admin(), admin, OPERATORS);
+            listen(stream.admin(), admin, OPERATORS, timers);
         }
         if (stream.figuresEvery() > 0) {
             admin.logEvery(stream.figuresEvery(), timers);
@@ -256,13 +256,11 @@
     }
 
     /**
-     * Most: connections that are accepted here and still open. Those beyond wait in the kernel's queue until one has closed;
-     * accepted without a descriptor to spare, none would be for 250 ms and longer, however many had closed by then.
+     * Most: connections that are accepted here and still open. Those beyond wait in the kernel's queue until one has closed.
      */
-    private void listen(InetSocketAddress address, HttpHandler handler, int most) throws IOException {
+    private void listen(InetSocketAddress address, HttpHandler handler, int most, Timers timers) throws IOException {
         HttpOpenListener reader = new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER, 256, 0), OptionMap.builder()
-                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES).set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS).getMap());
+                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES).set(UndertowOptions.MAX_HEADERS, MAX_HEADERS).getMap());
         reader.setRootHandler(exchange -> {
             String fault = Heads.fault(exchange);
             if (fault != null) {
@@ -274,23 +272,20 @@
                 ClientExchange.write(exchange, NO_ROOM, SECOND);
             }
         });
-        AcceptingChannel<StreamConnection> server = bind(address,
-                ChannelListeners.openListenerAdapter((StreamConnection c) -> connections.accept(c, reader)),
-                OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, BACKLOG).set(Options.SEND_BUFFER, SEND_BUFFER)
-                        .set(Options.CONNECTION_HIGH_WATER, most).getMap());
-        server.resumeAccepts();
-        listeners.add(server);
+        Listener listener = bind(address, new Listener.Limits(most, BACKLOG, SEND_BUFFER), timers,
+                connection -> connections.accept(connection, reader));
+        listener.start(worker.getIoThread());
+        listeners.add(listener);
     }
 
     /** A predecessor that is still ending has the address for a moment more, and is no reason not to start. */
-    private AcceptingChannel<StreamConnection> bind(InetSocketAddress address,
-            ChannelListener<AcceptingChannel<StreamConnection>> taken, OptionMap options) throws IOException {
+    private Listener bind(InetSocketAddress address, Listener.Limits limits, Timers timers, Consumer<StreamConnection> taker)
+            throws IOException {
         long began = System.nanoTime();
         boolean said = false;
         while (true) {
             try {
-                return worker.createStreamConnectionServer(address, taken, options);
+                return new Listener(address, limits, timers, taker);
             } catch (BindException e) {
                 String why = String.valueOf(e.getMessage());
                 if (!why.contains("in use") || System.nanoTime() - began > PREDECESSOR) {
--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -33,6 +33,17 @@
     private static final int SPARE = 12;
 
     private static final long MIN_PAUSE = 20_000_000;
+    /** The limits are looked at so often at least, since a head may begin right after a look, in nanoseconds. */
+    private static final long MAX_PAUSE = 250_000_000;
+
+    /**
+     * What holds for clients' connections; times in nanoseconds.
+     *
+     * @param open how many may be open; beyond that idle ones make room
+     * @param idle how long one may be idle
+     * @param head how long the head of a request may take from its first byte
+     */
+    public record Limits(int open, long idle, long head) { }
 
     /** CLOSING: its last answer is out; what its client still sends is read and dropped. */
     private enum Phase { IDLE, READING_HEAD, SERVING, CLOSING }
@@ -46,51 +57,48 @@
 
     /** Those that have been idle, or reading a head, for longest come first. */
     private final Map<StreamConnection, Activity> open = new LinkedHashMap<>();
-    private final int most;
-    private final long patience;
+    private final Limits limits;
     private final Timers timers;
     private volatile boolean draining;
     private boolean looking;
 
-    /** So many connections may be open; beyond that idle ones make room. Patience: how long one may be idle, in nanoseconds. */
-    public Connections(int most, long patience, Timers timers) {
-        this.most = most;
-        this.patience = patience;
+    public Connections(Limits limits, Timers timers) {
+        this.limits = limits;
         this.timers = timers;
-        timers.after(patience, this::retire);
+        timers.after(limits.idle(), this::retire);
     }
 
     /**
-     * Closes those that have been idle, or closing, for too long. Undertow's own timer would close upon a request that lies unread on a
-     * busy processor.
+     * Closes those that have been idle, reading a head, or closing, for too long. Undertow's own timers would close upon a request
+     * that lies unread on a busy processor, and count by the wall clock.
      */
     private void retire() {
-        long next = Math.min(retire(Phase.IDLE), retire(Phase.CLOSING));
-        timers.after(Math.max(MIN_PAUSE, next), this::retire);
+        long next = Math.min(retire(Phase.READING_HEAD, limits.head()),
+                Math.min(retire(Phase.IDLE, limits.idle()), retire(Phase.CLOSING, limits.idle())));
+        timers.after(Math.max(MIN_PAUSE, Math.min(MAX_PAUSE, next)), this::retire);
     }
 
     /** Closes those that have been in this phase for too long; in how many nanoseconds to look again. */
-    private long retire(Phase phase) {
+    private long retire(Phase phase, long limit) {
         long now = timers.now();
         StreamConnection eldest = eldest(phase);
-        while (eldest != null && now - activity(eldest).since() >= patience) {
+        while (eldest != null && now - activity(eldest).since() >= limit) {
             closeUnlessAsked(eldest);
             eldest = eldest(phase);
         }
-        return eldest == null ? patience : activity(eldest).since() + patience - now;
+        return eldest == null ? limit : activity(eldest).since() + limit - now;
     }
 
     /**
-     * So many may be accepted at a time, those over the limit included. Another thread accepts than the one that makes
-     * room, and in a burst it would use up the descriptors of the process before the first of them is seen here.
+     * So many may be accepted at a time, those over the limit included.
      */
     public int mostAccepted() {
-        return most + SPARE;
+        return limits.open() + SPARE;
     }
 
     /** Takes a new connection and hands it to whoever reads it. */
     public void accept(StreamConnection connection, ChannelListener<? super StreamConnection> reader) {
-        if (size() >= most && !closeOneWithoutRequest() && size() >= most + SPARE) {
+        if (size() >= limits.open() && !closeOneWithoutRequest() && size() >= mostAccepted()) {
             IoUtils.safeClose(connection);
             return;
         }
@@ -156,7 +164,7 @@
         synchronized (this) {
             open.replace(connection, new Activity(Phase.SERVING, timers.now()));
         }
-        boolean room = size() <= most || closeOneWithoutRequest();
+        boolean room = size() <= limits.open() || closeOneWithoutRequest();
         if (!room) {
             exchange.setPersistent(false);
         }
@@ -175,8 +183,11 @@
                 enterIfOpen(connection, Phase.IDLE);
                 next.proceed();
             } else {
-                // The next request came early.
-                afterOthers(connection, next::proceed);
+                // The next request, or a part of it, came early.
+                afterOthers(connection, () -> {
+                    enterIfOpen(connection, Phase.READING_HEAD);
+                    next.proceed();
+                });
             }
         });
         return room;
--- a/node/src/test/java/fawnlb/client/ConnectionsTest.java
+++ b/node/src/test/java/fawnlb/client/ConnectionsTest.java
@@ -38,6 +38,8 @@
  */
 public class ConnectionsTest {
     private static final long PATIENCE = 1000;
+    /** Longer than two times the patience, with some looks at the clock. */
+    private static final long HEAD = 3000;
     private static final String REQUEST = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
     private final HttpOpenListener reader = new HttpOpenListener(new DefaultByteBufferPool(true, 2048, 9, 0));
@@ -64,7 +66,7 @@
     @Before
     public void listen() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        connections = new Connections(1, PATIENCE, new ByHand());
+        connections = new Connections(new Connections.Limits(1, PATIENCE, HEAD), new ByHand());
         reader.setRootHandler(exchange -> {
             connections.serving(exchange);
             exchange.getResponseSender().send("served\n");
@@ -178,7 +180,7 @@
     @Test
     public void requestsSentAheadHoldUpNobodyElse() throws Exception {
         int ahead = 30;
-        connections = new Connections(9, PATIENCE, new ByHand());
+        connections = new Connections(new Connections.Limits(9, PATIENCE, HEAD), new ByHand());
         CountDownLatch begun = new CountDownLatch(1);
         CountDownLatch written = new CountDownLatch(1);
         List<String> served = new CopyOnWriteArrayList<>();
@@ -237,9 +239,42 @@
         });
     }
 
+    @Test
+    public void halfHeadIsClosedUponAtItsLimit() throws Exception {
+        try (Socket client = connect()) {
+            StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
+            onIoThread(() -> connections.accept(connection, reader));
+            whileWritten(client, "GET / HT", () -> {
+                retire.run();
+                assertTrue(connection.isOpen());
+            });
+            onIoThread(() -> {
+                now += HEAD;
+                retire.run();
+                assertFalse(connection.isOpen());
+            });
+        }
+    }
+
+    /** A client sends a request and a part of its next one at once: nothing is read in between that could say that a head begins. */
+    @Test
+    public void halfHeadBehindARequestIsClosedUponAtItsLimit() throws Exception {
+        try (Socket client = connect()) {
+            StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
+            onIoThread(() -> connections.accept(connection, reader));
+            write(client, REQUEST + "GET / HT");
+            assertServed(client);
+            onIoThread(() -> now += HEAD + PATIENCE);
+            onIoThread(() -> {
+                retire.run();
+                assertFalse(connection.isOpen());
+            });
+        }
+    }
+
     @Test
     public void idleConnectionMakesRoomBeforeOneOnWhichHeadHasBegun() throws Exception {
-        connections = new Connections(2, PATIENCE, new ByHand());
+        connections = new Connections(new Connections.Limits(2, PATIENCE, HEAD), new ByHand());
         try (Socket idle = connect(); Socket late = connect()) {
             StreamConnection first = accepted.poll(10, TimeUnit.SECONDS);
             StreamConnection second = accepted.poll(10, TimeUnit.SECONDS);
