Call a crowded discovery less often, and be ready only when it has had time to answer

At fault: SubscriptionSchedule.pause held every pause to 1.1 s, whether a call was refused at once or after 2 s in a queue, and Node counted a refused first call as discovery's word, so that restarted nodes sent to remembered servers. Ruled out: a discovery that is down for longer (those with a watch were told changes all the while).

Calls that fail at once keep their pauses (ToldTest unchanged).

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -109,6 +109,7 @@
     private final StreamConfig stream;
     private final Listeners listeners = new Listeners();
     private Connections connections;
+    private long startedAt;
     private final Object ending = new Object();
     private boolean ended;
     private boolean started;
@@ -132,6 +133,7 @@
         worker = createWorker();
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
+        startedAt = timers.now();
         connections = new Connections(new Connections.Limits(clientShare(config), IDLE, HEAD), timers);
         Streams streams = new Streams(stream.rules());
         BackendPool backends = createBackends(thread, timers, streams);
@@ -144,9 +146,7 @@
                 recorder.heard(kind, list);
             }
             core[0].listed(listed(kind, list, backends));
-            if (kind != Balancer.ListKind.CACHED) {
-                front.heard();
-            }
+            hearDiscovery(kind, timers);
         });
         // Where lists are pushed, it is to an agent on this machine, and the node has to ask that one.
         flows = new Flows(settings.asked(), config.seed(), (s, seed, sink) -> new Views(views, Choice::new, s, seed, sink),
@@ -166,6 +166,18 @@
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
 
+    /**
+     * Readiness waits for discovery's first word or failure, since nobody would know where to send. A discovery with more callers
+     * than it can serve is waited for a little longer: what it could tell already holds for this node.
+     */
+    private void hearDiscovery(Balancer.ListKind kind, Timers timers) {
+        if (kind == Balancer.ListKind.CROWDED) {
+            timers.after(Math.max(0, startedAt + Probation.MAX_CROWDED - timers.now()), front::heard);
+        } else if (kind != Balancer.ListKind.CACHED) {
+            front.heard();
+        }
+    }
+
     private void openFronts(BodyReader bodies, OpenIds ids, XnioIoThread thread, IoTimers timers) throws IOException {
         int each = connections.mostAccepted() / (broker == null ? 1 : 2);
         listen(config.listen(), front, each, timers);
--- a/node/src/main/java/fawnlb/decision/Balancer.java
+++ b/node/src/main/java/fawnlb/decision/Balancer.java
@@ -102,9 +102,19 @@
     /** Anything the router tells the module. */
     sealed interface Event permits Listed, Request, Started, Ended, ClientGone, Probed, PeerMessage, TimerDue { }
 
-    /** What a list event brings: changed entries, the whole list, the list as last held, nothing (failed), or what a
-     *  view between the list and the module has changed, which says nothing of whether the list is followed. */
-    enum ListKind { DELTA, FULL, CACHED, FAILED, VIEW }
+    /**
+     * What a list event brings: changed entries, the whole list, the list as last held, nothing (a call or subscription failed),
+     * nothing (a call had waited for its turn and was refused), or what a view between the list and the module has changed, which
+     * says nothing of whether the list is followed.
+     */
+    enum ListKind {
+        DELTA, FULL, CACHED, FAILED, CROWDED, VIEW;
+
+        /** Whether nothing came, and the old list stands. */
+        public boolean failed() {
+            return this == FAILED || this == CROWDED;
+        }
+    }
 
     /** A replica's state in the list. */
     enum Phase { READY, DRAINING, GONE }
--- a/node/src/main/java/fawnlb/membership/SubscriptionSchedule.java
+++ b/node/src/main/java/fawnlb/membership/SubscriptionSchedule.java
@@ -17,8 +17,18 @@
 
     /** The operators' bound on the time from the moment at which discovery has a change and can be reached. */
     public static final long COUNTS_AS_TOLD = 6 * SECOND;
-    /** The longest pause between a call that failed and the next one, however many failed. */
+    /** The longest pause between a call that failed and the next one, however many failed; but for calls that had waited. */
     public static final long MAX_PAUSE = SECOND + SECOND / 10;
+    /**
+     * The longest pause after a call that had waited for its turn and was refused. At the shorter one all callers of a large fleet
+     * together keep the queue longer than a call may wait, so that nobody is answered any more. It leaves time for the call that
+     * waited (2 s) and for one that is answered within a second.
+     */
+    public static final long MAX_PAUSE_AFTER_WAIT = 3 * SECOND;
+    /** Each node adds so much to the pause after a call that had waited, up to that. */
+    private static final long PAUSE_PER_NODE = SECOND / 33;
+    /** Nodes that start make their first call within so long, however many they are. */
+    private static final long MAX_FIRST_PAUSE = 2 * SECOND;
     /**
      * The nodes of a fleet add up to so many calls a second at most, as long as {@link #MAX_PAUSE} allows it: the first pause is
      * drawn from zero to the time in which all of them make one call at this pace, and later ones are longer still.
@@ -28,6 +38,8 @@
     private static final int MAX_DOUBLINGS = 4;
     /** Later pauses are this part of the longest one at least: a node calls once a second at most, and its phase is kept. */
     private static final double MIN_PART = 10.0 / 11;
+    /** After a call that had waited the pauses differ more: nodes whose calls came together are to come apart. */
+    private static final double MIN_PART_AFTER_WAIT = 0.2;
 
     private final int nodes;
     private final long askWithin;
@@ -62,15 +74,23 @@
             return OptionalLong.empty();
         }
         // A subscription that is lost is no call that failed: the first one after it may be made at once.
-        failedCalls += kind == ListKind.FAILED && !before ? 1 : 0;
-        nextCall = now + pause();
+        failedCalls += kind.failed() && !before ? 1 : 0;
+        nextCall = now + pause(maxPause(kind), kind == ListKind.CROWDED ? MIN_PART_AFTER_WAIT : MIN_PART);
         return OptionalLong.of(nextCall);
     }
 
-    private long pause() {
+    private long maxPause(ListKind kind) {
+        return switch (kind) {
+            case CACHED -> MAX_FIRST_PAUSE;
+            case CROWDED -> Math.max(MAX_PAUSE, Math.min(MAX_PAUSE_AFTER_WAIT, nodes * PAUSE_PER_NODE));
+            default -> MAX_PAUSE;
+        };
+    }
+
+    private long pause(long maxPause, double minPart) {
         long spread = Math.min(askWithin / 5, nodes * (SECOND / CALLS_PER_SECOND));
-        spread = Math.min(spread << Math.min(failedCalls, MAX_DOUBLINGS), MAX_PAUSE);
-        long least = failedCalls > 0 ? (long) (spread * MIN_PART) : 0;
+        spread = Math.min(spread << Math.min(failedCalls, MAX_DOUBLINGS), maxPause);
+        long least = failedCalls > 0 ? (long) (spread * minPart) : 0;
         return least + (long) (random.getAsDouble() * (spread - least));
     }
 
--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -119,7 +119,7 @@
         if (settings.discovery() == Discovery.ASKED && news.kind() != ListKind.VIEW) {
             subscription.heard(now, news.kind()).ifPresent(this::wakeForList);
         }
-        if (news.kind() == ListKind.FAILED) {
+        if (news.kind().failed()) {
             return;
         }
         List<Node> joined = new ArrayList<>();
--- a/node/src/main/java/fawnlb/probation/Probation.java
+++ b/node/src/main/java/fawnlb/probation/Probation.java
@@ -39,6 +39,8 @@
     /** A backend on probation. */
     public enum State { REMEMBERED, PROVING, PROVEN, DOUBTED }
 
+    /** How long a node waits for its first answer of a discovery that refuses its calls since it has too many, in nanoseconds. */
+    public static final long MAX_CROWDED = 4_000_000_000L;
     /** The weight of a memory whose age is not known. */
     private static final double UNKNOWN_AGE = 0.5;
     /** A memory of at least this weight is let try its whole part at once. */
@@ -58,6 +60,7 @@
      * one may belong to another by now, and a node may send only to what its list has named.
      */
     private boolean awaitsWord;
+    private long awaitsFrom;
     private long admitAt = NEVER;
 
     /**
@@ -115,6 +118,11 @@
                 awaitsWord = false;
                 yield news;
             }
+            case CROWDED -> {
+                // Discovery may well be up, and answer the next call: what it would say holds for this node by then.
+                admitAt = awaitsWord ? Math.max(now, awaitsFrom + MAX_CROWDED) : admitAt;
+                yield news;
+            }
             case VIEW -> news;
         };
     }
@@ -130,6 +138,7 @@
             }
         }
         awaitsWord = true;
+        awaitsFrom = now;
         expected = boxes.values().stream().mapToDouble(box -> box.weight).sum();
         admit(now);
         if (!boxes.isEmpty()) {
@@ -276,6 +285,7 @@
 
     /** Lets backends be tried, the likeliest first, while fewer are being tried without an answer than may be. */
     private void admit(long now) {
+        awaitsWord &= now < admitAt;
         if (awaitsWord) {
             return;
         }
--- a/node/src/test/java/fawnlb/probation/ProbationTest.java
+++ b/node/src/test/java/fawnlb/probation/ProbationTest.java
@@ -157,6 +157,18 @@
         assertEquals(State.DOUBTED, probation.state(1));
     }
 
+    @Test
+    public void crowdedDiscoveryIsWaitedForBeforeRememberedBackendsAreTried() {
+        Probation probation = new Probation(rules(0), 1, Map.of(), line -> { });
+        show(probation.listed(NOW, list(ListKind.CACHED, 1)));
+        probation.listed(NOW + 2 * S, new Listed(ListKind.CROWDED, 0, List.of()));
+        assertEquals(0, (int) shown.get(1L));
+        assertEquals(NOW + Probation.MAX_CROWDED, probation.wakeAt());
+        assertNull(probation.woken(NOW + Probation.MAX_CROWDED - 1));
+        show(probation.woken(NOW + Probation.MAX_CROWDED));
+        assertEquals(1, (int) shown.get(1L));
+    }
+
     @Test
     public void discoverysWordWinsAtOnce() {
         Probation probation = start(48 * HOUR, 0, 1, 2, 3, 4, 5);
