Take a backend's age from when it was notified, and start times only as far as nothing refutes them

At fault: Node.listed compared up_since_ms with a clock that was set once by the wall clock (IoTimers.base). Ruled out: steps while the node runs (the clock runs on the monotonic one).

What the node does with a list has moved out of Node into MembershipFeed.

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -17,12 +17,8 @@
 import fawnlb.config.NodeConfig;
 import fawnlb.config.StartConfig;
 import fawnlb.config.StreamConfig;
-import fawnlb.decision.Balancer;
 import fawnlb.decision.Balancer.Settings;
-import fawnlb.dialect.Dialect;
 import fawnlb.discovery.Discovery;
-import fawnlb.discovery.Member;
-import fawnlb.discovery.MemberList;
 import fawnlb.flow.Flows;
 import fawnlb.http.BodyReader;
 import fawnlb.http.Heads;
@@ -54,7 +50,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
-import java.util.stream.Collectors;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -109,7 +104,6 @@
     private final StreamConfig stream;
     private final Listeners listeners = new Listeners();
     private Connections connections;
-    private long startedAt;
     private final Object ending = new Object();
     private boolean ended;
     private boolean started;
@@ -133,31 +127,24 @@
         worker = createWorker();
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
-        startedAt = timers.now();
         connections = new Connections(new Connections.Limits(clientShare(config), IDLE, HEAD), timers);
         Streams streams = new Streams(stream.rules());
         BackendPool backends = createBackends(thread, timers, streams);
         Remembered remembered = Remembered.read(start, config.known(), timers.now());
         Recorder recorder = recorder(thread, timers, remembered);
         List<View> views = views(recorder, remembered);
-        Flows[] core = new Flows[1];
-        discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(), (kind, list) -> {
-            if (recorder != null) {
-                recorder.heard(kind, list);
-            }
-            core[0].listed(listed(kind, list, backends));
-            hearDiscovery(kind, timers);
-        });
+        MembershipFeed feed = new MembershipFeed(settings, messageKinds(), backends, timers);
+        discovery = new Discovery(thread, timers, new Mailbox(thread, MAILBOX), config.discovery(), feed);
         // Where lists are pushed, it is to an agent on this machine, and the node has to ask that one.
         flows = new Flows(settings.asked(), config.seed(), (s, seed, sink) -> new Views(views, Choice::new, s, seed, sink),
                 new Mailbox(thread, MAILBOX), timers, backends, discovery);
-        core[0] = flows;
         BodyReader bodies = new BodyReader(BODIES);
         OpenIds ids = new OpenIds();
         front = new PlatformFront(flows, bodies, ids, settings, !messageKinds().isEmpty());
         if (start.believed()) {
             front.heard();
         }
+        feed.begin(flows, recorder, front::heard);
         discovery.known(remembered.list());
         openFronts(bodies, ids, thread, timers);
         openAdmin(new AdminFront(streams, backends::address), timers);
@@ -166,18 +153,6 @@
         LOG.info(config.name() + " serves on " + address(0) + (broker == null ? "" : ", teams on " + address(1)));
     }
 
-    /**
-     * Readiness waits for discovery's first word or failure, since nobody would know where to send. A discovery with more callers
-     * than it can serve is waited for a little longer: what it could tell already holds for this node.
-     */
-    private void hearDiscovery(Balancer.ListKind kind, Timers timers) {
-        if (kind == Balancer.ListKind.CROWDED) {
-            timers.after(Math.max(0, startedAt + Probation.MAX_CROWDED - timers.now()), front::heard);
-        } else if (kind != Balancer.ListKind.CACHED) {
-            front.heard();
-        }
-    }
-
     private void openFronts(BodyReader bodies, OpenIds ids, XnioIoThread thread, IoTimers timers) throws IOException {
         int each = connections.mostAccepted() / (broker == null ? 1 : 2);
         listen(config.listen(), front, each, timers);
@@ -334,24 +309,6 @@
         return broker == null ? Set.of() : broker.messageKinds();
     }
 
-    private Balancer.Listed listed(Balancer.ListKind kind, MemberList list, BackendPool backends) {
-        if (list == null) {
-            return new Balancer.Listed(kind, 0, List.of());
-        }
-        if (list.complete()) {
-            backends.keep(list.members().stream().map(Member::number).collect(Collectors.toSet()));
-        }
-        List<Balancer.Replica> replicas = new ArrayList<>();
-        for (Member member : list.members()) {
-            backends.place(member.number(), new InetSocketAddress(member.host(), member.port()), member.upSinceMillis(),
-                    member.phase(), messageKinds().contains(member.kind()) ? Dialect.MESSAGES : Dialect.CHAT);
-            replicas.add(new Balancer.Replica(member.number(), member.phase(), member.upSinceMillis() * 1_000_000,
-                    member.size(), Math.max(0, config.settings().names().zones().indexOf(member.zone())), member.cell(),
-                    Math.max(0, config.settings().names().kinds().indexOf(member.kind()))));
-        }
-        return new Balancer.Listed(kind, list.revision(), replicas);
-    }
-
     /** SIGHUP: the list comes from where the new configuration says; all else stays as the node was started. */
     synchronized void reload(NodeConfig read) {
         discovery.move(read.discovery());
--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -12,7 +12,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BiConsumer;
 import java.util.logging.Logger;
 import org.xnio.XnioIoThread;
 
@@ -42,7 +41,7 @@
     private final XnioIoThread thread;
     private final Timers timers;
     private final Mailbox mailbox;
-    private final BiConsumer<ListKind, MemberList> subscriber;
+    private final Subscriber subscriber;
     private InetSocketAddress address;
     private long revision;
     private Watch watch;
@@ -52,9 +51,18 @@
     private int failedCalls;
     private long failingSince;
 
-    /** The subscriber hears of every list, and of every failed call with the list {@code null}. */
+    /** Hears what discovery says. */
+    @FunctionalInterface
+    public interface Subscriber {
+        /** A list, or a failed call with the list {@code null}. */
+        void heard(ListKind kind, MemberList list);
+
+        /** Nothing has changed since the last list. */
+        default void heartbeat() { }
+    }
+
     public Discovery(XnioIoThread thread, Timers timers, Mailbox mailbox, InetSocketAddress address,
-                     BiConsumer<ListKind, MemberList> subscriber) {
+                     Subscriber subscriber) {
         this.thread = thread;
         this.timers = timers;
         this.mailbox = mailbox;
@@ -66,7 +74,7 @@
     public void known(MemberList list) {
         mailbox.tell(() -> {
             revision = list.revision();
-            subscriber.accept(ListKind.CACHED, list);
+            subscriber.heard(ListKind.CACHED, list);
         });
     }
 
@@ -114,7 +122,7 @@
         }
         // A whole list stands for itself: a service that starts anew, or one moved to, may count from lower.
         revision = list.complete() && watching ? list.revision() : Math.max(revision, list.revision());
-        subscriber.accept(list.complete() ? ListKind.FULL : ListKind.DELTA, list);
+        subscriber.heard(list.complete() ? ListKind.FULL : ListKind.DELTA, list);
     }
 
     /** A discovery that stays away fails many calls in the same way; a line for each would hide all others. */
@@ -198,7 +206,7 @@
             } else if (!done && !silent) {
                 silent = true;
                 say("watch silent");
-                subscriber.accept(ListKind.FAILED, null);
+                subscriber.heard(ListKind.FAILED, null);
             }
         }
 
@@ -207,7 +215,7 @@
             if (silent) {
                 silent = false;
                 sayAnswered();
-                subscriber.accept(ListKind.DELTA, new MemberList(revision, false, List.of()));
+                subscriber.heard(ListKind.DELTA, new MemberList(revision, false, List.of()));
             }
         }
 
@@ -238,16 +246,15 @@
             try {
                 for (String text : reader.feed(bytes)) {
                     if (text.equals(ListReader.HEARTBEAT) && (!watching || told)) {
-                        continue;
-                    }
-                    if (!watching) {
+                        subscriber.heartbeat();
+                    } else if (!watching) {
                         fetched.add(text);
                     } else if (!text.equals(ListReader.HEARTBEAT)) {
                         line(text, true);
                         hearsFirstWord();
                     } else {
                         // Nothing has changed since the version that was asked from: that is an answer too.
-                        subscriber.accept(ListKind.DELTA, new MemberList(revision, false, List.of()));
+                        subscriber.heard(ListKind.DELTA, new MemberList(revision, false, List.of()));
                         hearsFirstWord();
                     }
                 }
@@ -287,7 +294,7 @@
             if (!done) {
                 drop();
                 say((watching ? "watch " : "fetch ") + why);
-                subscriber.accept(kind, null);
+                subscriber.heard(kind, null);
             }
         }
 
