Keep the ring in one array, and judge the fleet without sorting it for each request

At fault: Choice.insert and removeGone (an object a point, 640,000 of them sorted anew for each change), and Choice.middle, quickestPace and remember (all servers streamed, boxed and sorted for each request; tens of thousands of whole requests kept).

HashRing keeps sorted points in one array, a server's number in their low bits, and merges only what joins; Selection finds the median without sorting; RecentRequests keeps keys and figures.

--- a/lab/src/main/java/fawnlb/lab/cli/Main.java
+++ b/lab/src/main/java/fawnlb/lab/cli/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import fawnlb.lab.scenario.FleetSize;
 import fawnlb.lab.scenario.Scenario;
 import fawnlb.lab.scenario.SlowReaders;
 import fawnlb.lab.scenario.SnapshotCrash;
@@ -17,7 +18,7 @@
 /** The lab's command line. */
 public final class Main {
     private static final List<Scenario> SCENARIOS = List.of(new StartWithoutDiscovery(), new SnapshotCrash(), new StartTime(),
-            new StreamFaults(), new StalledBoxes(), new SlowReaders());
+            new StreamFaults(), new FleetSize(), new StalledBoxes(), new SlowReaders());
 
     private Main() { }
 
--- a/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
+++ b/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
@@ -47,6 +47,7 @@
     private int answerLength;
     private int headLength;
     private long answeredAt;
+    private int connections;
     private final List<Long> called = new ArrayList<>();
 
     /** What the lab's clients tell of a request in its query: the true length of an answer is known to no one else.
@@ -177,10 +178,16 @@
         return called;
     }
 
+    /** Connections that were made to it. */
+    public int connections() {
+        return connections;
+    }
+
     // ---- What it answers ------------------------------------------------------------------------------
 
     @Override
     public void connected(Exchange exchange) {
+        connections++;
         engine.connected();
     }
 
--- a/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
+++ b/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
@@ -23,6 +23,11 @@
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
 
     private static final Pattern RESIDENT = Pattern.compile("(?m)^VmRSS:\\s*(\\d+) kB$");
+    private static final Pattern PEAK = Pattern.compile("(?m)^VmHWM:\\s*(\\d+) kB$");
+    /** Of a process's line in /proc, behind its name: where its ticks as user and as system stand; a tick is 10 ms on Linux. */
+    private static final int USER_TICKS = 11;
+    private static final int SYSTEM_TICKS = 12;
+    private static final double TICK_SECONDS = 0.01;
 
     private final String name;
     private final InetSocketAddress address;
@@ -104,9 +109,30 @@
 
     /** Bytes of memory that the process has at the moment, as Linux counts them. */
     public long memory() throws IOException {
-        String status = Files.readString(Path.of("/proc/" + process.pid() + "/status"));
-        Matcher resident = RESIDENT.matcher(status);
-        return resident.find() ? Long.parseLong(resident.group(1)) * 1024 : 0;
+        return status(RESIDENT);
+    }
+
+    /** The most that it has had. */
+    public long peakMemory() throws IOException {
+        return status(PEAK);
+    }
+
+    private long status(Pattern line) throws IOException {
+        Matcher found = line.matcher(Files.readString(Path.of("/proc/" + process.pid() + "/status")));
+        return found.find() ? Long.parseLong(found.group(1)) * 1024 : 0;
+    }
+
+    /** Processor time of the process so far, in seconds. */
+    public double cpuSeconds() throws IOException {
+        String line = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        String[] fields = line.substring(line.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[USER_TICKS]) + Long.parseLong(fields[SYSTEM_TICKS])) * TICK_SECONDS;
+    }
+
+    /** Descriptors that are open in the process. */
+    public int descriptors() {
+        String[] open = new File("/proc/" + process.pid() + "/fd").list();
+        return open == null ? 0 : open.length;
     }
 
     public boolean isAlive() {
--- a/lab/src/main/java/fawnlb/lab/roster/RosterServer.java
+++ b/lab/src/main/java/fawnlb/lab/roster/RosterServer.java
@@ -44,6 +44,7 @@
     private long revision;
     private long free;
     private boolean up = true;
+    private long bytesTold;
 
     private record Watch(String node, Exchange exchange) { }
 
@@ -129,7 +130,13 @@
         changed.forEach(member -> rules.told(timers.now(), node, member.id(), member.phase() != Phase.READY));
     }
 
-    private static void chunk(Exchange exchange, String text) {
+    /** Bytes of lists and changes that were told so far. */
+    public long bytesTold() {
+        return bytesTold;
+    }
+
+    private void chunk(Exchange exchange, String text) {
+        bytesTold += text.length();
         exchange.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 
--- a/node/src/main/java/fawnlb/policy/Choice.java
+++ b/node/src/main/java/fawnlb/policy/Choice.java
@@ -4,16 +4,14 @@
 import fawnlb.membership.SubscriptionSchedule;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.BitSet;
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /**
  * All decisions of one router. The interface (settings, events, actions) is decision.Balancer.
@@ -27,8 +25,6 @@
 
     // ---- Settings -------------------------------------------------------------------------------------
 
-    /** Points of a replica on the ring. */
-    static final int POINTS = 200;
     /** The cap is a replica's even part of the load times CAP_NUM / CAP_DEN, that is 1.25. */
     static final int CAP_NUM = 5;
     static final int CAP_DEN = 4;
@@ -86,7 +82,7 @@
         long readyAt;
         int zone;
         int cell;
-        int kind;
+        KindPace kind;
         int inFlight;
         long visit;
         boolean cold;
@@ -108,6 +104,9 @@
     }
 
     private final Map<Long, Node> nodes = new HashMap<>();
+    /** Those that are ready, and a place for a figure of each. */
+    private final List<Node> readyNodes = new ArrayList<>();
+    private double[] figures = new double[0];
     private int ready;
     private int cold;
     private int nearReady;
@@ -139,7 +138,7 @@
         }
         left |= whole && leaveOut(mark);
         if (!joined.isEmpty()) {
-            insert(joined);
+            ring.add(joined, node -> node.id);
         }
         if (left) {
             removeGone();
@@ -173,7 +172,7 @@
         node.phase = replica.phase();
         node.zone = replica.zone();
         node.cell = replica.cell();
-        node.kind = replica.kind();
+        node.kind = kindPaces.computeIfAbsent(replica.kind(), kind -> new KindPace());
         node.room = replica.room();
     }
 
@@ -194,6 +193,8 @@
         cold = 0;
         nearReady = 0;
         nearTotal = 0;
+        readyNodes.clear();
+        readyKinds.clear();
         BitSet met = new BitSet();
         for (Node node : nodes.values()) {
             boolean here = node.zone == settings.zone();
@@ -201,6 +202,8 @@
             if (node.phase == Phase.READY) {
                 nearReady += here ? 1 : 0;
                 met.set(Math.max(0, node.zone));
+                readyNodes.add(node);
+                readyKinds.add(node.kind);
                 ready++;
                 cold += node.cold ? 1 : 0;
             }
@@ -211,24 +214,12 @@
 
     // ---- Ring and cap ---------------------------------------------------------------------------------
 
-    /** A point of the ring. */
-    private record Point(long at, long id, Node owner) { }
-
-    private static final Comparator<Point> CLOCKWISE =
-            Comparator.comparingLong(Point::at).thenComparingLong(Point::id);
-    private Point[] ring = new Point[0];
+    private final HashRing<Node> ring = new HashRing<>();
     private long visits;
     private int total;
 
-    /** Adds the points of the given replicas to the ring; the result does not depend on history. */
-    private void insert(List<Node> joined) {
-        Stream<Point> added = joined.stream().flatMap(node -> IntStream.range(0, POINTS)
-                .mapToObj(i -> new Point(mix(mix(node.id) + i), node.id, node)));
-        ring = Stream.concat(Arrays.stream(ring), added).sorted(CLOCKWISE).toArray(Point[]::new);
-    }
-
     private void removeGone() {
-        ring = Arrays.stream(ring).filter(point -> point.owner().phase != Phase.GONE).toArray(Point[]::new);
+        ring.removeIf(node -> node.phase == Phase.GONE);
         nodes.values().forEach(node -> node.onRing &= node.phase != Phase.GONE);
         nodes.values().removeIf(node -> node.phase == Phase.GONE && node.inFlight == 0);
     }
@@ -247,12 +238,6 @@
         return (CAP_NUM * wide * (total + 1) + divisor - 1) / divisor;
     }
 
-    /** The index of the first point at or clockwise of the key's hash. */
-    private int start(long key) {
-        int i = -1 - Arrays.binarySearch(ring, new Point(mix(key), Long.MIN_VALUE, null), CLOCKWISE);
-        return i == ring.length ? 0 : i;
-    }
-
     private Node walk(Task task) {
         Node near = keepsNear(task) ? walk(task, true) : null;
         return near != null ? near : walk(task, false);
@@ -261,20 +246,20 @@
     /** Walks clockwise to the first replica that may take the task and is below the cap, else to the first
      *  that may take it; null if none. Near: only replicas of this router's zone are met and counted. */
     private Node walk(Task task, boolean near) {
-        if (ring.length == 0) {
+        if (ring.size() == 0) {
             return null;
         }
         int replicas = near ? nearReady : warmReady();
         long key = ringKey(task, replicas);
-        int at = start(key);
+        int at = ring.first(key);
         Node fallback = null;
         long limit = Math.max(QUIET_CAP, cap(near ? nearTotal : total, replicas, wide));
         double quickest = quickestPace();
         long mark = ++visits;
         int left = near ? nearReady : ready;
-        for (int i = at, seen = 0; seen < ring.length && left > 0; seen++) {
-            Node node = ring[i].owner();
-            i = i + 1 == ring.length ? 0 : i + 1;
+        for (int i = at, seen = 0; seen < ring.size() && left > 0; seen++) {
+            Node node = ring.server(i);
+            i = i + 1 == ring.size() ? 0 : i + 1;
             if (node.visit == mark || node.phase != Phase.READY || near && node.zone != settings.zone()) {
                 continue;
             }
@@ -318,31 +303,13 @@
     static final double PRIOR_REQUESTS = 16;
     static final double SPREAD_LIMIT = 0.25;
     static final int RECENT_PER_REPLICA = 8;
-    private final ArrayDeque<Task> recent = new ArrayDeque<>();
-    private final Map<Long, double[]> recentByKey = new HashMap<>();
-    private double recentWork;
-
-    private void remember(Task task) {
-        recent.add(task);
-        recentByKey.computeIfAbsent(task.key, k -> new double[2])[0] += task.work;
-        recentByKey.get(task.key)[1]++;
-        recentWork += task.work;
-        while (recent.size() > RECENT_PER_REPLICA * Math.max(16, ready)) {
-            Task old = recent.poll();
-            double[] sum = recentByKey.get(old.key);
-            sum[0] -= old.work;
-            recentWork -= old.work;
-            if (--sum[1] == 0) {
-                recentByKey.remove(old.key);
-            }
-        }
-    }
+    private final RecentRequests recent = new RecentRequests();
 
     private long ringKey(Task task, int replicas) {
         double seen = recent.size();
-        double[] sum = task.key == task.session ? null : recentByKey.get(task.key);
-        double need = sum == null ? 1
-                : sum[0] / recentWork * replicas / PLACE_SHARE * seen / (seen + PRIOR_REQUESTS);
+        boolean prefix = task.key != task.session && recent.knows(task.key);
+        double need = !prefix ? 1
+                : recent.part(task.key) * replicas / PLACE_SHARE * seen / (seen + PRIOR_REQUESTS);
         long places = 1;
         while (places < need) {
             places *= 2;
@@ -409,9 +376,11 @@
 
     /** The pace of the quickest kind of ready replicas that was met often enough; NEVER if none was. */
     private double quickestPace() {
-        return nodes.values().stream().filter(n -> n.phase == Phase.READY).map(n -> kindPace.get(n.kind))
-                .filter(k -> k != null && k[1] >= KIND_PRIOR_STREAMS)
-                .mapToDouble(k -> k[0]).min().orElse(NEVER);
+        double quickest = NEVER;
+        for (KindPace kind : readyKinds) {
+            quickest = kind.streams >= KIND_PRIOR_STREAMS ? Math.min(quickest, kind.pace) : quickest;
+        }
+        return quickest;
     }
 
     /** What is usual follows no slow replica: a first token counts LAG_OUTLIER times the usual at most. */
@@ -447,8 +416,7 @@
 
     /** Where many started together, none of them is known to be the next. */
     private void findNextToDrain() {
-        long[] starts = nodes.values().stream().filter(node -> node.phase == Phase.READY)
-                .mapToLong(node -> node.readyAt).sorted().toArray();
+        long[] starts = readyNodes.stream().mapToLong(node -> node.readyAt).sorted().toArray();
         drainsNextBefore = starts.length >= 2 * NEXT_TO_DRAIN ? starts[NEXT_TO_DRAIN] : 0;
     }
 
@@ -472,9 +440,17 @@
 
     /** The middle one of the ready replicas' figures. */
     private double middle(ToDoubleFunction<Node> figure) {
-        double[] all = nodes.values().stream().filter(node -> node.phase == Phase.READY).mapToDouble(figure)
-                .sorted().toArray();
-        return all.length == 0 ? 0 : all[all.length / 2];
+        int count = readyNodes.size();
+        if (count == 0) {
+            return 0;
+        }
+        if (figures.length < count) {
+            figures = new double[count];
+        }
+        for (int i = 0; i < count; i++) {
+            figures[i] = figure.applyAsDouble(readyNodes.get(i));
+        }
+        return Selection.upperMedian(figures, count);
     }
 
     private boolean sheds(Task task) {
@@ -521,13 +497,21 @@
     /** A router meets one of many replicas a few times in ten seconds: what it has seen of others of that
      *  kind counts as KIND_PRIOR_STREAMS streams of its own. */
     static final int KIND_PRIOR_STREAMS = 8;
-    private final Map<Integer, double[]> kindPace = new HashMap<>();
+    private final Map<Integer, KindPace> kindPaces = new HashMap<>();
+    /** Kinds that have a ready replica. */
+    private final Set<KindPace> readyKinds = new LinkedHashSet<>();
+
+    /** How fast replicas of one kind stream, and in how many streams that was seen. */
+    private static final class KindPace {
+        double pace;
+        double streams;
+    }
 
     private double paceOf(Node node) {
         int own = Math.min(node.streams, 16);
-        double[] kind = kindPace.get(node.kind);
         double all = own + KIND_PRIOR_STREAMS;
-        return kind == null ? node.pace : (own * node.pace + KIND_PRIOR_STREAMS * kind[0]) / all;
+        return node.kind.streams == 0 ? node.pace
+                : (own * node.pace + KIND_PRIOR_STREAMS * node.kind.pace) / all;
     }
 
     private void judgePace(Node node, Task task, double took) {
@@ -542,8 +526,8 @@
         }
         double ratio = Math.min(MAX_STREAM_RATIO, stream / typicalStream[type]);
         node.pace += (ratio - node.pace) / Math.min(++node.streams, 16);
-        double[] kind = kindPace.computeIfAbsent(node.kind, k -> new double[2]);
-        kind[0] += (ratio - kind[0]) / Math.min(++kind[1], 64);
+        KindPace kind = node.kind;
+        kind.pace += (ratio - kind.pace) / Math.min(++kind.streams, 64);
         if (seen > 2 * STREAM_SAMPLES) {
             bestPace = Math.min(bestPace, middle(this::paceOf));
         }
@@ -694,7 +678,7 @@
         Task task = new Task(request, settings.requestClass(request.type()), now);
         tasks.put(request.id(), task);
         retryCredit = Math.min(retryBurst, retryCredit + RETRY_PART);
-        remember(task);
+        recent.add(task.key, task.work, RECENT_PER_REPLICA * Math.max(16, ready));
         countTenant(request.tenant());
         if (sheds(task)) {
             giveUp(task);
