Guard sends, repeats and closes by invariants that are counted, and add a soak of real processes

Invariant names what must hold at each moment; each is checked where it would be broken: in Flows (refusals and attempts), Backend (what is sent, and when), ClientExchange (one answer) and Connections (closes). Violations are counted and logged with the request's id. Metrics counts requests and attempts by how they ended, prevented sends, closes, failed accepts and calls to discovery by why; the admin listener shows them at /metrics, and a planned end logs them. At level FINE the core logs each step of a request.

The lab's scenario soak plays real nodes with signals and failing system calls; the rule checker now also holds deadlines, leavers and answers in time.

--- a/lab/src/main/java/fawnlb/lab/cli/Main.java
+++ b/lab/src/main/java/fawnlb/lab/cli/Main.java
@@ -8,6 +8,7 @@
 import fawnlb.lab.scenario.Scenario;
 import fawnlb.lab.scenario.SlowReaders;
 import fawnlb.lab.scenario.SnapshotCrash;
+import fawnlb.lab.scenario.Soak;
 import fawnlb.lab.scenario.StalledBoxes;
 import fawnlb.lab.scenario.StartTime;
 import fawnlb.lab.scenario.StartWithoutDiscovery;
@@ -18,7 +19,7 @@
 /** The lab's command line. */
 public final class Main {
     private static final List<Scenario> SCENARIOS = List.of(new StartWithoutDiscovery(), new SnapshotCrash(), new StartTime(),
-            new StreamFaults(), new FleetSize(), new StalledBoxes(), new SlowReaders());
+            new StreamFaults(), new FleetSize(), new Soak(), new StalledBoxes(), new SlowReaders());
 
     private Main() { }
 
--- a/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
+++ b/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
@@ -52,7 +52,8 @@
 
     /** What the lab's clients tell of a request in its query: the true length of an answer is known to no one else.
      *  Where a query does not come through, in another dialect, an answer is as long as it may be. */
-    private record Ask(String id, long session, long prefix, int prompt, int prefixLength, int out, int pad, boolean stream) {
+    private record Ask(String id, long session, long prefix, int prompt, int prefixLength, int out, int pad, boolean stream,
+                       long patience) {
         static Ask of(Request request) {
             Map<String, Long> facts = new HashMap<>();
             for (String part : request.path().substring(request.path().indexOf('?') + 1).split("&")) {
@@ -68,7 +69,8 @@
             }
             return new Ask(request.header("x-request-id"), facts.getOrDefault("session", 0L), facts.getOrDefault("prefix", 0L),
                     facts.getOrDefault("prompt", 1L).intValue(), facts.getOrDefault("shared", 0L).intValue(),
-                    facts.getOrDefault("out", 1L).intValue(), facts.getOrDefault("pad", 0L).intValue(), STREAM.matcher(body).find());
+                    facts.getOrDefault("out", 1L).intValue(), facts.getOrDefault("pad", 0L).intValue(), STREAM.matcher(body).find(),
+                    request.header("x-deadline-ms").isEmpty() ? 0 : Long.parseLong(request.header("x-deadline-ms")) * 1_000_000);
         }
     }
 
@@ -220,6 +222,7 @@
     private void answer(Ask ask, Exchange exchange) {
         long now = timers.now();
         rules.sent(now, ask.id(), id, () -> exchange.isOpen());
+        rules.told(now, ask.id(), ask.patience());
         Answer answer = new Answer(ask, exchange);
         if (draining || !engine.offer(now, answer.sequence)) {
             rules.ended(timers.now(), ask.id(), id, false, 0);
--- a/lab/src/main/java/fawnlb/lab/load/Clients.java
+++ b/lab/src/main/java/fawnlb/lab/load/Clients.java
@@ -47,6 +47,7 @@
     private final Histogram gaps = new Histogram(60_000_000, 3);
     private long start;
     private long firstServed = -1;
+    private long waitBeyondDeadline;
     private int open;
     private int tries;
     private long ids;
@@ -73,6 +74,11 @@
         this.order = new Random(seed);
     }
 
+    /** Clients wait for so many nanoseconds beyond their deadline, and hold it against the node if no answer has begun by then. */
+    public void waitBeyondDeadline(long nanos) {
+        waitBeyondDeadline = nanos;
+    }
+
     /** Asks every turn at its time, counted from now. */
     public void play(List<Turn> turns) {
         start = timers.now();
@@ -213,18 +219,23 @@
                     + Integer.toHexString(turn.prefixLength()) + "&out=" + Integer.toHexString(turn.out());
             String body = "{\"model\":\"advisor\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"?\"}]}";
             rules.asked(id, node.name);
+            rules.wants(id, deadline);
             connection.send(this, ByteBuffer.wrap(("POST " + path + " HTTP/1.1\r\nHost: lab\r\nX-Request-Id: " + id
                     + "\r\nX-Class: advisor-chat\r\nX-Key: " + String.format("%016x", turn.session()) + "\r\nX-Deadline-Ms: "
                     + Math.max(1, (deadline - timers.now()) / MS) + "\r\nX-Extras: prefix=" + String.format("%016x", turn.prefix())
                     + ",prompt_len=" + turn.prompt() + ",prefix_len=" + turn.prefixLength() + ",max_out=800\r\nContent-Length: "
                     + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1)));
-            patience = timers.after(deadline - timers.now(), this::leave);
+            patience = timers.after(deadline + waitBeyondDeadline - timers.now(), this::leave);
         }
 
         /** The client has waited long enough for the first event, and closes. */
         private void leave() {
             if (!over && firstAt < 0) {
                 over = true;
+                if (waitBeyondDeadline > 0) {
+                    rules.late(id);
+                }
+                rules.left(timers.now(), id);
                 connection.close();
                 client.again(End.GIVEN_UP, client.pause());
             }
@@ -289,6 +300,7 @@
                 client.over(End.BROKEN);
             } else if (reused || how == Connection.Break.NOT_WRITTEN) {
                 // The node closed an idle connection as the request crossed it: it goes out once more on a new one.
+                rules.closedUpon(id);
                 node.idle.clear();
                 begin(nodes.indexOf(node));
             } else {
--- a/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
+++ b/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
@@ -103,6 +103,16 @@
         environment = Map.copyOf(variables);
     }
 
+    /** Sends a signal by its name. */
+    public void signal(String name) throws IOException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+    }
+
+    /** Waits for its end; its status, -1 if it still runs. */
+    public int awaitEnd(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS) ? process.exitValue() : -1;
+    }
+
     public long pid() {
         return process.pid();
     }
--- /dev/null
+++ b/lab/src/main/java/fawnlb/lab/scenario/Strangers.java
@@ -0,0 +1,62 @@
+package fawnlb.lab.scenario;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Clients that connect, write a part of a request or nothing, and stay. */
+final class Strangers implements AutoCloseable {
+    private static final int CONNECT_MS = 500;
+
+    private final InetSocketAddress node;
+    private final List<Socket> sockets = new ArrayList<>();
+
+    Strangers(InetSocketAddress node) {
+        this.node = node;
+    }
+
+    /** As many as the node takes: it may be down at the moment. */
+    void connect(int count, String text) {
+        for (int i = 0; i < count; i++) {
+            try {
+                Socket socket = new Socket();
+                socket.connect(node, CONNECT_MS);
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+                sockets.add(socket);
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    /** Whether the node ends all connections within this time. */
+    boolean areClosedWithin(long millis) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        for (Socket socket : sockets) {
+            try {
+                long left = (end - System.nanoTime()) / 1_000_000;
+                socket.setSoTimeout((int) Math.max(1, left));
+                while (socket.getInputStream().read() >= 0) {
+                    // An error may be told before the close.
+                }
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                // A reset ends it too.
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- a/lab/src/main/java/fawnlb/lab/shim/FaultShim.java
+++ b/lab/src/main/java/fawnlb/lab/shim/FaultShim.java
@@ -84,6 +84,11 @@
         }
     }
 
+    /** Faults of nobody: for a machine without a compiler. */
+    public static FaultShim none() {
+        return new FaultShim(null, null, LongBuffer.allocate(WORDS));
+    }
+
     /** What the node's process has to be started with. */
     public Map<String, String> environment() {
         return Map.of("LD_PRELOAD", library.toString(), "FAULT_CONTROL", control.toString());
@@ -116,6 +121,15 @@
         return words.get(place(call) + 2);
     }
 
+    /** How many calls of all kinds have failed so far. */
+    public long failures() {
+        long sum = 0;
+        for (Call call : Call.values()) {
+            sum += failures(call);
+        }
+        return sum;
+    }
+
     private static int place(Call call) {
         return CALLS + WORDS_PER_CALL * call.ordinal();
     }
--- a/node/src/main/java/fawnlb/actor/Mailbox.java
+++ b/node/src/main/java/fawnlb/actor/Mailbox.java
@@ -1,5 +1,7 @@
 package fawnlb.actor;
 
+import fawnlb.metrics.Metrics;
+import fawnlb.metrics.Metrics.Metric;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -26,6 +28,16 @@
         this.bound = bound;
     }
 
+    /**
+     * Leaves a message that nobody would say again and that the actor must not miss, such as a change of membership or a timer
+     * that is set once, whether the mailbox is full or not. For messages whose number something else bounds: requests that are
+     * open, timers, members.
+     */
+    public void tellAlways(Runnable message) {
+        size.incrementAndGet();
+        add(message, () -> { });
+    }
+
     /** Leaves a message; false, and nothing left, if the mailbox is full. */
     public boolean tell(Runnable message) {
         return tell(message, () -> { });
@@ -38,11 +50,16 @@
     public boolean tell(Runnable message, Runnable failed) {
         if (size.incrementAndGet() > bound) {
             size.decrementAndGet();
+            Metrics.count(Metric.MESSAGES_DROPPED, "mailbox_full");
             return false;
         }
+        add(message, failed);
+        return true;
+    }
+
+    private void add(Runnable message, Runnable failed) {
         messages.add(new Message(message, failed));
         schedule();
-        return true;
     }
 
     /**
--- a/node/src/main/java/fawnlb/admin/AdminFront.java
+++ b/node/src/main/java/fawnlb/admin/AdminFront.java
@@ -3,6 +3,7 @@
 import fawnlb.actor.Timers;
 import fawnlb.client.ClientExchange;
 import fawnlb.client.Replies;
+import fawnlb.metrics.Metrics;
 import fawnlb.stream.Streams;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -36,7 +37,8 @@
             case "/targets" -> say(exchange, StatusCodes.OK, "text/plain", text());
             case "/targets.json" -> say(exchange, StatusCodes.OK, "application/json",
                     FiguresTable.json(streams.figures(), addresses));
-            default -> say(exchange, StatusCodes.NOT_FOUND, "text/plain", "no such path; there are /targets and /targets.json\n");
+            case "/metrics" -> say(exchange, StatusCodes.OK, "text/plain; version=0.0.4", Metrics.text());
+            default -> say(exchange, StatusCodes.NOT_FOUND, "text/plain", "no such path; there are /targets, /targets.json and /metrics\n");
         }
     }
 
--- a/node/src/main/java/fawnlb/backend/Backend.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -10,6 +10,9 @@
 import fawnlb.flow.Source;
 import fawnlb.http.Connection;
 import fawnlb.http.Response;
+import fawnlb.metrics.Invariant;
+import fawnlb.metrics.Metrics;
+import fawnlb.metrics.Metrics.Metric;
 import fawnlb.stream.End;
 import fawnlb.stream.Ending;
 import fawnlb.stream.State;
@@ -43,6 +46,16 @@
     /** An answer that is not streamed is kept until it is whole, and may be so long. */
     private static final int MAX_WHOLE_BYTES = 1 << 20;
 
+    /** A process may be held up for so long between its look at the clock and the write, in nanoseconds. */
+    private static final long MAX_HELD_UP = 150_000_000;
+
+    /** A connect that fails for want of something on this machine is tried again so often, after so many nanoseconds. */
+    private static final int MAX_LOCAL_FAILURES = 4;
+    private static final long LOCAL_FAILURE_PAUSE = 50_000_000;
+
+    /** What stands against sending a request that has been decided on. */
+    private enum SendObstacle { NONE, BACKEND_LEFT, BACKEND_DRAINS, OUT_OF_TIME, REPEAT_WINDOW_OVER, NOT_WANTED }
+
     /** What a backend finds wrong with the request itself: it would with every backend, and the client can mend it. */
     private static final Set<Integer> CLIENT_FAULTS = Set.of(400, 404, 413, 422);
 
@@ -89,7 +102,7 @@
      * before this; what is kept of the backend goes when that has ended too, and would stay if it went before it began.
      */
     void leave() {
-        mailbox.tell(() -> {
+        mailbox.tellAlways(() -> {
             left = true;
             streams.gone(id);
             while (!idle.isEmpty()) {
@@ -100,7 +113,7 @@
 
     /** Whether it is to finish what it has and get nothing new, not even what still waits for its connection. */
     void drains(boolean now) {
-        mailbox.tell(() -> draining = now);
+        mailbox.tellAlways(() -> draining = now);
     }
 
     /** Prompt tokens and again: as {@link Streams#open} has them; the rest as {@link Backends#attempt}. */
@@ -157,7 +170,7 @@
             return;
         }
         idle.addLast(new Idle(connection, timers.now()));
-        timers.after((long) (limits.idle() * RETIRE), () -> mailbox.tell(this::retire));
+        timers.after((long) (limits.idle() * RETIRE), () -> mailbox.tellAlways(this::retire));
     }
 
     boolean hasIdle() {
@@ -180,15 +193,16 @@
     }
 
     /** One exchange with the backend, from finding a connection to its end. */
-    private abstract class Exchange implements Connection.Call {
+    private abstract class Exchange implements Connection.Call, Connection.Opened {
         Connection connection;
         boolean done;
+        private int localFailures;
 
         void begin() {
             if (done) {
                 return;
             }
-            if (!mayBeSent()) {
+            if (isPrevented()) {
                 finish(End.NOT_SENT);
                 return;
             }
@@ -197,18 +211,31 @@
                 send();
             } else if (pool.socketFree()) {
                 pool.socketOpened();
-                Connection.open(thread, timers, address, limits.connect(), this::opened);
+                Connection.open(thread, timers, address, limits.connect(), this);
             } else {
                 // Our own shortage is no fault of the backend's.
                 finish(End.NOT_SENT);
             }
         }
 
-        private void opened(Connection opened) {
+        @Override
+        public void failedLocally(IOException cause) {
+            pool.socketClosed();
+            Metrics.count(Metric.LOCAL_CONNECT_FAILURES, "connect");
+            if (++localFailures > MAX_LOCAL_FAILURES) {
+                LOG.warning("no connection could be made to " + address + " for a reason of this machine: " + cause.getMessage());
+                finish(End.NOT_SENT);
+            } else {
+                timers.after(LOCAL_FAILURE_PAUSE, () -> mailbox.tellAlways(this::begin));
+            }
+        }
+
+        @Override
+        public void opened(Connection opened) {
             if (opened == null) {
                 pool.socketClosed();
                 finish(End.NOT_CONNECTED);
-            } else if (done || !mayBeSent()) {
+            } else if (done || isPrevented()) {
                 keep(opened);
                 finish(End.NOT_SENT);
             } else {
@@ -218,9 +245,14 @@
         }
 
         private void send() {
-            connection.send(this, request());
+            Connection used = connection;
+            used.send(this, request());
+            sent();
         }
 
+        /** Its request has been handed to the connection. */
+        void sent() { }
+
         /** Made when it is written: what it tells of the time that is left must hold then. */
         abstract ByteBuffer[] request();
 
@@ -266,9 +298,17 @@
             }
         }
 
-        /** Asked before its connection is looked for, and when it has come up, which may be long after it was decided on. */
-        boolean mayBeSent() {
-            return true;
+        /** What stands against sending it, asked before its connection is looked for, and when it has come up. */
+        SendObstacle obstacle() {
+            return SendObstacle.NONE;
+        }
+
+        private boolean isPrevented() {
+            SendObstacle obstacle = obstacle();
+            if (obstacle != SendObstacle.NONE) {
+                Metrics.count(Metric.SENDS_PREVENTED, obstacle);
+            }
+            return obstacle != SendObstacle.NONE;
         }
 
         abstract void whole();
@@ -528,8 +568,29 @@
         }
 
         @Override
-        boolean mayBeSent() {
-            return !left && !draining && timers.now() < Math.min(sendBy, until) && report.wanted();
+        SendObstacle obstacle() {
+            if (left) {
+                return SendObstacle.BACKEND_LEFT;
+            }
+            if (draining) {
+                return SendObstacle.BACKEND_DRAINS;
+            }
+            if (timers.now() >= until) {
+                return SendObstacle.OUT_OF_TIME;
+            }
+            if (timers.now() >= sendBy) {
+                return SendObstacle.REPEAT_WINDOW_OVER;
+            }
+            return report.wanted() ? SendObstacle.NONE : SendObstacle.NOT_WANTED;
+        }
+
+        @Override
+        void sent() {
+            long now = timers.now();
+            String request = "request " + parcel.id() + " at " + address;
+            Invariant.NOT_SENT_TO_LEAVING_BACKEND.holds(!left && !draining, request, left ? "it had left" : "it drains");
+            Invariant.DEADLINE_TOLD_IN_TIME.holds(now - Math.min(until, sendBy) < MAX_HELD_UP, request,
+                    "written " + (now - until) / 1_000_000 + " ms after its time");
         }
 
         @Override
@@ -596,6 +657,7 @@
             }
             String load = head == null ? "" : tail.load().isEmpty() ? head.header("x-load") : tail.load();
             Ending ending = stream.ending();
+            Metrics.count(Metric.ATTEMPTS, ending.word());
             LOG.fine(() -> parcel.id() + " at " + address + ": " + ending.word());
             report.ended(ending, tail.kept(), LoadReport.parse(load, limits.reportFields()));
             if (sink != null) {
@@ -619,7 +681,7 @@
 
         Probe(Backends.ProbeReport report) {
             this.report = report;
-            timers.after(limits.probe(), () -> mailbox.tell(() -> stop(End.OUT_OF_TIME)));
+            timers.after(limits.probe(), () -> mailbox.tellAlways(() -> stop(End.OUT_OF_TIME)));
         }
 
         @Override
--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -24,6 +24,7 @@
 import fawnlb.http.Heads;
 import fawnlb.messages.FlowLog;
 import fawnlb.messages.MessagesFront;
+import fawnlb.metrics.Metrics;
 import fawnlb.platform.PlatformFront;
 import fawnlb.policy.Choice;
 import fawnlb.probation.Probation;
@@ -332,6 +333,7 @@
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
+                LOG.info("ended; " + Metrics.summary());
                 ended = true;
             }
         }
--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -4,6 +4,9 @@
 import fawnlb.flow.ClientConnection;
 import fawnlb.flow.Flows;
 import fawnlb.flow.Source;
+import fawnlb.metrics.Invariant;
+import fawnlb.metrics.Metrics;
+import fawnlb.metrics.Metrics.Metric;
 import fawnlb.stream.End;
 import fawnlb.stream.Ending;
 import io.undertow.connector.PooledByteBuffer;
@@ -15,6 +18,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.xnio.IoUtils;
@@ -41,6 +45,7 @@
     private int lastBytes;
     private boolean ended;
     private boolean done;
+    private Replies.End endedAs;
 
     public ClientExchange(HttpServerExchange exchange, Mailbox mailbox, Replies replies) {
         this.exchange = exchange;
@@ -97,6 +102,7 @@
         } catch (RuntimeException e) {
             LOG.log(Level.SEVERE, "a failure could not be answered", e);
         }
+        Invariant.ANSWERED_BEFORE_CLOSE.holds(done || exchange.isResponseStarted(), requestId(), "it could not be answered");
         try {
             left();
         } finally {
@@ -104,6 +110,15 @@
         }
     }
 
+    private String requestId() {
+        return "request " + Objects.requireNonNullElse(exchange.getRequestHeaders().getFirst("X-Request-Id"), "without an id");
+    }
+
+    /** An answer for a request that is over: of no use where its client has left, and a fault where it had one. */
+    private void tooLate(String what) {
+        Invariant.ONE_FINAL_ANSWER.holds(endedAs == Replies.End.GONE, requestId(), what + " after it was " + endedAs);
+    }
+
     private void callOff() {
         if (ticket != null) {
             ticket.gone();
@@ -113,6 +128,8 @@
     /** Told once, at the end of the exchange. */
     private void finished(Replies.End end, int status, Ending cause) {
         done = true;
+        endedAs = end;
+        Metrics.count(Metric.REQUESTS, end);
         if (serving != null) {
             serving.exchange = null;
         }
@@ -179,6 +196,7 @@
     public void streaming(Source from) {
         tell(() -> {
             if (done) {
+                tooLate("a stream came");
                 from.closed();
                 return;
             }
@@ -288,6 +306,7 @@
 
     private void answer(Replies.Reply reply, long retryAfter, Replies.End end, Ending cause) {
         if (done) {
+            tooLate(end + " was to be said");
             return;
         }
         finished(end, reply.status(), cause);
--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -1,6 +1,9 @@
 package fawnlb.client;
 
 import fawnlb.actor.Timers;
+import fawnlb.metrics.Invariant;
+import fawnlb.metrics.Metrics;
+import fawnlb.metrics.Metrics.Metric;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
@@ -48,6 +51,9 @@
     /** CLOSING: its last answer is out; what its client still sends is read and dropped. */
     private enum Phase { IDLE, READING_HEAD, SERVING, CLOSING }
 
+    /** Why the node closes a connection of its own accord. */
+    private enum CloseReason { IDLE_LIMIT, HEAD_LIMIT, CLOSING_LIMIT, NO_ROOM, NO_ROOM_UNREAD, PLANNED_END }
+
     /** What a connection has been doing, and since when, in nanoseconds. */
     private record Activity(Phase phase, long since) {
         boolean is(Phase other) {
@@ -73,17 +79,17 @@
      * that lies unread on a busy processor, and count by the wall clock.
      */
     private void retire() {
-        long next = Math.min(retire(Phase.READING_HEAD, limits.head()),
-                Math.min(retire(Phase.IDLE, limits.idle()), retire(Phase.CLOSING, limits.idle())));
+        long next = Math.min(retire(Phase.READING_HEAD, limits.head(), CloseReason.HEAD_LIMIT), Math.min(
+                retire(Phase.IDLE, limits.idle(), CloseReason.IDLE_LIMIT), retire(Phase.CLOSING, limits.idle(), CloseReason.CLOSING_LIMIT)));
         timers.after(Math.max(MIN_PAUSE, Math.min(MAX_PAUSE, next)), this::retire);
     }
 
     /** Closes those that have been in this phase for too long; in how many nanoseconds to look again. */
-    private long retire(Phase phase, long limit) {
+    private long retire(Phase phase, long limit, CloseReason reason) {
         long now = timers.now();
         StreamConnection eldest = eldest(phase);
         while (eldest != null && now - activity(eldest).since() >= limit) {
-            closeUnlessAsked(eldest);
+            closeUnlessAsked(eldest, reason);
             eldest = eldest(phase);
         }
         return eldest == null ? limit : activity(eldest).since() + limit - now;
@@ -99,6 +105,7 @@
     /** Takes a new connection and hands it to whoever reads it. */
     public void accept(StreamConnection connection, ChannelListener<? super StreamConnection> reader) {
         if (size() >= limits.open() && !closeOneWithoutRequest() && size() >= mostAccepted()) {
+            Metrics.count(Metric.CLIENT_CONNECTIONS_CLOSED, CloseReason.NO_ROOM_UNREAD);
             IoUtils.safeClose(connection);
             return;
         }
@@ -234,7 +241,7 @@
         // Each look closes the eldest, or finds that another is the eldest now.
         for (int looks = size(); looks > 0; looks--) {
             StreamConnection eldest = eldest(phase);
-            if (eldest == null || closeUnlessAsked(eldest)) {
+            if (eldest == null || closeUnlessAsked(eldest, CloseReason.NO_ROOM)) {
                 return eldest != null;
             }
         }
@@ -260,7 +267,7 @@
      * Closes a connection without a request, unless more of one has come and was not read yet: on a busy processor it can lie
      * there for half a second, and the client that wrote it is owed an answer. False if it has.
      */
-    private boolean closeUnlessAsked(StreamConnection connection) {
+    private boolean closeUnlessAsked(StreamConnection connection, CloseReason reason) {
         Activity before = activity(connection);
         if (before == null || before.is(Phase.SERVING)) {
             return false;
@@ -270,7 +277,10 @@
         if (connection.isOpen() && activity(connection) != before) {
             return false;
         }
+        Activity last = activity(connection);
+        Invariant.ANSWERED_BEFORE_CLOSE.holds(last == null || !last.is(Phase.SERVING), connection.toString(), "closed for " + reason);
         closed(connection);
+        Metrics.count(Metric.CLIENT_CONNECTIONS_CLOSED, reason);
         IoUtils.safeClose(connection);
         return true;
     }
@@ -278,7 +288,7 @@
     private void closeIfDone(StreamConnection connection) {
         Activity now = activity(connection);
         if (now != null && (now.is(Phase.IDLE) || now.is(Phase.CLOSING))) {
-            closeUnlessAsked(connection);
+            closeUnlessAsked(connection, CloseReason.PLANNED_END);
         }
     }
 
--- a/node/src/main/java/fawnlb/client/Listener.java
+++ b/node/src/main/java/fawnlb/client/Listener.java
@@ -1,6 +1,8 @@
 package fawnlb.client;
 
 import fawnlb.actor.Timers;
+import fawnlb.metrics.Metrics;
+import fawnlb.metrics.Metrics.Metric;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -161,6 +163,7 @@
 
     private void logFailure(IOException e) {
         failures++;
+        Metrics.count(Metric.ACCEPT_FAILURES, "accept");
         long now = timers.now();
         if (now - loggedAt >= LOG_PAUSE) {
             LOG.warning("accept on " + address() + " failed, " + failures + " times since the last such line: " + e.getMessage());
--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -6,6 +6,8 @@
 import fawnlb.flow.Roster;
 import fawnlb.http.Connection;
 import fawnlb.http.Response;
+import fawnlb.metrics.Metrics;
+import fawnlb.metrics.Metrics.Metric;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -72,7 +74,7 @@
 
     /** The list as this node last had it, before any is asked for. */
     public void known(MemberList list) {
-        mailbox.tell(() -> {
+        mailbox.tellAlways(() -> {
             revision = list.revision();
             subscriber.heard(ListKind.CACHED, list);
         });
@@ -83,7 +85,7 @@
      * be opened again: what changes from now on counts as told soon, and the old address says nothing of it.
      */
     public void move(InetSocketAddress to) {
-        mailbox.tell(() -> {
+        mailbox.tellAlways(() -> {
             if (!to.equals(address)) {
                 LOG.info("discovery moves from " + address + " to " + to);
                 address = to;
@@ -96,7 +98,7 @@
 
     @Override
     public void subscribe() {
-        mailbox.tell(this::watchAgain);
+        mailbox.tellAlways(this::watchAgain);
     }
 
     private void watchAgain() {
@@ -196,7 +198,7 @@
             if (patience != null) {
                 patience.cancel();
             }
-            patience = timers.after(time, () -> mailbox.tell(then));
+            patience = timers.after(time, () -> mailbox.tellAlways(then));
         }
 
         /** Counts as a call that failed, so that the next one is made; drops nothing, for a false alarm costs nothing then. */
@@ -222,6 +224,7 @@
         private void hearsFirstWord() {
             if (!told) {
                 told = true;
+                Metrics.count(Metric.DISCOVERY_CALLS, "answered");
                 sayAnswered();
             }
         }
@@ -293,6 +296,7 @@
         private void fail(String why, ListKind kind) {
             if (!done) {
                 drop();
+                Metrics.count(Metric.DISCOVERY_CALLS, kind);
                 say((watching ? "watch " : "fetch ") + why);
                 subscriber.heard(kind, null);
             }
--- a/node/src/main/java/fawnlb/flow/Ask.java
+++ b/node/src/main/java/fawnlb/flow/Ask.java
@@ -8,5 +8,10 @@
                   double prefixTokens, double maxTokens, boolean repeat, Parcel parcel) {
 
     /** The request itself, which the core carries unread. */
-    public interface Parcel { }
+    public interface Parcel {
+        /** The id that the client gave it, for the log. */
+        default String id() {
+            return "";
+        }
+    }
 }
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -4,6 +4,7 @@
 import fawnlb.actor.Timers;
 import fawnlb.decision.Balancer;
 import fawnlb.decision.Balancer.Outcome;
+import fawnlb.metrics.Invariant;
 import fawnlb.stream.End;
 import fawnlb.stream.Ending;
 import java.util.HashMap;
@@ -25,6 +26,9 @@
     private static final long UNCOUNTED_WAIT = 100_000_000;
     private static final long DEFAULT_RETRY_AFTER = 1_000_000_000;
     private static final long NEVER = Long.MAX_VALUE;
+    private static final long MILLISECOND = 1_000_000;
+    /** A process may be held up for so long between its look at the clock and the write. */
+    static final long HELD_UP = 150_000_000;
 
     private final Balancer.Settings settings;
     private final Balancer balancer;
@@ -110,13 +114,13 @@
         Flow[] flow = new Flow[1];
         boolean room = !closed && open < settings.limits().open() && mailbox.tell(() -> flow[0] = begin(ask, client, taken),
                 () -> abandon(flows.get(lastId)));
-        ticket[0] = () -> mailbox.tell(() -> gone(flow[0]));
+        ticket[0] = () -> mailbox.tellAlways(() -> gone(flow[0]));
         return room ? ticket[0] : null;
     }
 
     /** News of the list, in the order in which it came. */
     public void listed(Balancer.Listed news) {
-        mailbox.tell(() -> tell(news));
+        mailbox.tellAlways(() -> tell(news));
     }
 
     private void tell(Balancer.Event event) {
@@ -141,6 +145,7 @@
             return;
         }
         boolean owed = !flow.over;
+        LOG.fine(() -> name(flow) + ": the client has left" + (owed ? ", no answer is owed" : ""));
         close(flow);
         if (owed) {
             tell(new Balancer.ClientGone(flow.id));
@@ -150,7 +155,8 @@
 
     private void lastCall(Flow flow) {
         if (!flow.over) {
-            LOG.warning("flow " + flow.id + " had no answer at its deadline");
+            LOG.warning(name(flow) + " had no answer at its deadline, after " + flow.attempts + " attempt(s)"
+                    + (flow.out == null ? "" : ", one of them still out"));
             boolean harmless = type(flow).refusable(flow.out != null || flow.ranFrom != NEVER);
             finish(flow, () -> {
                 if (harmless) {
@@ -213,41 +219,61 @@
                 stop(flow, End.CALLED_OFF);
             }
         } else if (action instanceof Balancer.Refuse a) {
-            Flow flow = flows.get(a.request());
-            finish(flow, () -> flow.client.refused(flow.last, retryAfter(a.retryAfter())));
+            refuse(flows.get(a.request()), a.retryAfter());
         } else if (action instanceof Balancer.Fail a) {
             Flow flow = flows.get(a.request());
             finish(flow, () -> flow.client.failed(flow.last));
         } else if (action instanceof Balancer.Timer a) {
-            timers.after(a.at() - timers.now(), () -> mailbox.tell(() -> tell(new Balancer.TimerDue(a.token()))));
+            timers.after(a.at() - timers.now(), () -> mailbox.tellAlways(() -> tell(new Balancer.TimerDue(a.token()))));
         } else if (action instanceof Balancer.Subscribe) {
             roster.subscribe();
         } else if (action instanceof Balancer.Fetch) {
             roster.fetch();
         } else if (action instanceof Balancer.Probe a) {
             long sentAt = timers.now();
-            backends.probe(a.replica(), (outcome, load) -> mailbox.tell(() ->
+            backends.probe(a.replica(), (outcome, load) -> mailbox.tellAlways(() ->
                     tell(new Balancer.Probed(a.replica(), outcome, timers.now() - sentAt, load))));
         } else if (action instanceof Balancer.Log a) {
             LOG.info(a.text());
         }
     }
 
+    /** Refuses the flow where that promises no more than its class allows, and fails it otherwise. */
+    private void refuse(Flow flow, long retryAfter) {
+        if (flow == null || flow.over) {
+            return;
+        }
+        boolean mayHaveRun = flow.out != null || flow.ranFrom != NEVER;
+        if (Invariant.REPEATED_AS_EFFECT_ALLOWS.holds(type(flow).refusable(mayHaveRun), name(flow), "refused after it may have run")) {
+            finish(flow, () -> flow.client.refused(flow.last, retryAfter(retryAfter)));
+        } else {
+            finish(flow, () -> flow.client.failed(flow.last));
+        }
+    }
+
+    private static String name(Flow flow) {
+        return "request " + (flow.ask.parcel() == null ? "" : flow.ask.parcel().id()) + " (flow " + flow.id + ')';
+    }
+
     private void send(Balancer.Send send) {
         Flow flow = flows.get(send.request());
         // Never an attempt for a flow that is over, a second one beside another, or one more than allowed.
         if (flow == null || flow.over || flow.out != null || flow.attempts >= settings.limits().attempts()) {
+            Invariant.ONE_ATTEMPT_AT_A_TIME.holds(flow == null || flow.over || flow.out == null, flow == null ? "" : name(flow),
+                    "another attempt was asked for while one is out");
             int number = flow == null ? 0 : flow.attempts++;
             boolean over = flow == null || flow.over;
-            mailbox.tell(() -> tell(new Balancer.Ended(send.request(), number, send.replica(), Outcome.NEVER_SENT,
+            mailbox.tellAlways(() -> tell(new Balancer.Ended(send.request(), number, send.replica(), Outcome.NEVER_SENT,
                     over, 0, 0, List.of())));
             return;
         }
         long now = timers.now();
         long stopAt = send.stopAt() > 0 ? Math.min(send.stopAt(), flow.deadline) : flow.deadline;
         Out out = new Out(flow.attempts++, send.replica(), now);
+        LOG.fine(() -> name(flow) + ": attempt " + out.number + " to backend " + out.backend + ", given up in "
+                + (stopAt - now) / MILLISECOND + " ms");
         flow.out = out;
-        out.stop = timers.after(stopAt - now, () -> mailbox.tell(() -> {
+        out.stop = timers.after(stopAt - now, () -> mailbox.tellAlways(() -> {
             if (flow.out == out && !out.streaming) {
                 stop(flow, End.OUT_OF_TIME);
             }
@@ -299,7 +325,7 @@
     /** A connect takes its time: a repeat that was decided within the window of a keyed class may be sent behind it. */
     private long sendBy(Flow flow) {
         Balancer.RequestClass type = type(flow);
-        return type.effect() == Balancer.Effect.SAFE || flow.ranFrom == NEVER ? NEVER : flow.ranFrom + type.window();
+        return type.effect() == Balancer.Effect.SAFE || flow.ranFrom == NEVER ? NEVER : flow.ranFrom + type.window() - HELD_UP;
     }
 
     // ---- What becomes of attempts ---------------------------------------------------------------------
@@ -346,6 +372,7 @@
         if (flow.out != out) {
             return;
         }
+        LOG.fine(() -> name(flow) + ": attempt " + out.number + " ended " + ending.word());
         flow.out = null;
         flow.last = ending;
         flow.ranFrom = ending.outcome().mayHaveRun() ? Math.min(flow.ranFrom, out.sentAt) : flow.ranFrom;
--- a/node/src/main/java/fawnlb/http/Connection.java
+++ b/node/src/main/java/fawnlb/http/Connection.java
@@ -3,7 +3,10 @@
 import fawnlb.actor.Guard;
 import fawnlb.actor.Timers;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.PortUnreachableException;
 import java.nio.ByteBuffer;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -34,6 +37,7 @@
     private Call call;
     private Timers.Timer headTimer;
     private boolean headTold;
+    private boolean writeFailed;
     private boolean closed;
 
     /** What becomes of one call: perhaps head and pieces of the body, and always one of the two ends. */
@@ -57,6 +61,14 @@
     @FunctionalInterface
     public interface Opened {
         void opened(Connection connection);
+
+        /**
+         * Instead, where it failed for a reason of this machine: no descriptor, port, buffer or route. It says nothing of the
+         * other side.
+         */
+        default void failedLocally(IOException cause) {
+            opened(null);
+        }
     }
 
     private Connection(StreamConnection channel, Timers timers) {
@@ -76,10 +88,19 @@
         Timers.Timer timer = timers.after(timeout, future::cancel);
         future.addNotifier((f, none) -> thread.execute(() -> {
             timer.cancel();
-            opened.opened(f.getStatus() == IoFuture.Status.DONE ? done(f, timers) : null);
+            if (f.getStatus() == IoFuture.Status.FAILED && isLocal(f.getException())) {
+                opened.failedLocally(f.getException());
+            } else {
+                opened.opened(f.getStatus() == IoFuture.Status.DONE ? done(f, timers) : null);
+            }
         }), null);
     }
 
+    /** The platform has exceptions of their own for what the other side or the way to it refuses. */
+    private static boolean isLocal(IOException cause) {
+        return !(cause instanceof ConnectException || cause instanceof NoRouteToHostException || cause instanceof PortUnreachableException);
+    }
+
     private static Connection done(IoFuture<? extends StreamConnection> future, Timers timers) {
         try {
             return new Connection(future.get(), timers);
@@ -158,6 +179,7 @@
             channel.getSinkChannel().suspendWrites();
         } catch (IOException e) {
             // The answer may have been sent before the other side closed: readable() looks for it.
+            writeFailed = true;
             channel.getSinkChannel().suspendWrites();
             channel.getSourceChannel().wakeupReads();
         }
@@ -181,6 +203,11 @@
         ByteBuffer in = READ.get().clear();
         int n = read(in);
         try {
+            if (n == 0 && writeFailed) {
+                // Nobody will answer a request of which the rest can't be written.
+                finish(false, Break.CLOSED);
+                return;
+            }
             if (n == 0) {
                 channel.getSourceChannel().resumeReads();
                 return;
--- a/node/src/main/java/fawnlb/messages/FlowLog.java
+++ b/node/src/main/java/fawnlb/messages/FlowLog.java
@@ -48,6 +48,6 @@
         data.put("ms", Long.toString((now - flow.takenAt()) / 1_000_000));
         data.put("dropped", Long.toString(sender.dropped()));
         sender.send(format.format(end.equals("served") ? INFORMATIONAL : NOTICE,
-                Instant.ofEpochSecond(0, now), "FLOW", ELEMENT, data, "flow " + end));
+                Instant.now(), "FLOW", ELEMENT, data, "flow " + end));
     }
 }
--- a/node/src/main/java/fawnlb/snapshot/Recorder.java
+++ b/node/src/main/java/fawnlb/snapshot/Recorder.java
@@ -135,7 +135,7 @@
             timer.cancel();
         }
         long due = Math.max(at, writtenAt + pace.least());
-        timer = timers.after(due - timers.now(), () -> mailbox.tell(this::write));
+        timer = timers.after(due - timers.now(), () -> mailbox.tellAlways(this::write));
     }
 
     private void write() {
@@ -146,16 +146,16 @@
         wantedAt = NEVER;
         writtenAt = timers.now();
         Snapshot snapshot = new Snapshot(writtenAt / MS, revision, List.copyOf(entries.values()));
-        disk.tell(() -> {
+        disk.tellOrFail(() -> {
             String fault = null;
             try {
                 store.write(snapshot);
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 fault = e.toString();
             }
             String why = fault;
-            mailbox.tell(() -> written(why));
-        });
+            mailbox.tellAlways(() -> written(why));
+        }, () -> mailbox.tellAlways(() -> written("the disk's thread could not take it")));
     }
 
     private void written(String fault) {
--- a/node/src/main/java/fawnlb/syslog/SyslogSender.java
+++ b/node/src/main/java/fawnlb/syslog/SyslogSender.java
@@ -112,7 +112,7 @@
 
     private void again() {
         if (!waiting.isEmpty()) {
-            timers.after(RECONNECT, () -> mailbox.tell(() -> {
+            timers.after(RECONNECT, () -> mailbox.tellAlways(() -> {
                 if (connection == null) {
                     connect();
                 }
