Test a start without sockets, and deadlines behind accepts that fail; both are known red

n0 was not ready within 10000 ms; its log: 'fawnlb: Too many open files', and ended with status 1 DEADLINE_TOLD: was told 306 ms more than its client has

--- a/lab/src/test/java/fawnlb/lab/scenario/SystemFaultsIT.java
+++ b/lab/src/test/java/fawnlb/lab/scenario/SystemFaultsIT.java
@@ -97,6 +97,54 @@
         }
     }
 
+    /** The soak's find: a node that started while no socket could be made ended with status 1. */
+    @Test
+    public void nodeStartsThoughNoSocketCanBeMadeForAMoment() throws Exception {
+        stage.box(KIND, Speech.CHAT);
+        stage.prepare(1, 0);
+        NodeProcess node = stage.nodes.get(0);
+        node.setEnvironment(shim.environment());
+        shim.fail(FaultShim.Call.SOCKET, FaultShim.Errno.EMFILE, 1);
+        stage.start(0, Map.of());
+        long end = System.nanoTime() + 10 * SECOND;
+        while (!node.log().contains("org.jboss.threads")) {
+            assertTrue("never began: " + node.log(), System.nanoTime() < end);
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        // The platform asks for sockets too before the node does.
+        TimeUnit.MILLISECONDS.sleep(1000);
+        shim.heal(FaultShim.Call.SOCKET);
+        while (!node.isReady()) {
+            assertTrue("ended: " + node.log(), node.isAlive());
+            assertTrue("not ready in time", System.nanoTime() < end);
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    /** The soak's find: a request's time in the kernel's queue, through accepts that fail, was told to a server as left. */
+    @Test
+    public void deadlineToldToAServerLeavesOutTheTimeForWhichAcceptsFailed() throws Exception {
+        NodeProcess node = start(1);
+        shim.fail(FaultShim.Call.ACCEPT, FaultShim.Errno.ENFILE, 1);
+        String body = "{\"model\":\"m\",\"stream\":true,\"max_tokens\":2,\"messages\":[]}";
+        String id = "5eedfeed";
+        try (Socket socket = connect(node)) {
+            long written = stage.timers.now();
+            Stage.on(stage.fleet, () -> {
+                stage.rules.asked(id, node.name());
+                stage.rules.wants(id, written + 4 * SECOND);
+            });
+            socket.getOutputStream().write(("POST /v1/chat/completions?out=2 HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id
+                    + "\r\nX-Class: advisor-chat\r\nX-Key: 1\r\nX-Deadline-Ms: 4000\r\nConnection: close\r\nContent-Length: "
+                    + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.MILLISECONDS.sleep(1000);
+            shim.heal(FaultShim.Call.ACCEPT);
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200"));
+        }
+        assertEquals(Map.of(), stage.rules.broken());
+    }
+
     /** When the connection closes on which half a head was written, in nanoseconds; the wall clock steps meanwhile. */
     private long halfHeadClosesAfter(NodeProcess node, long step) throws Exception {
         shim.stepWallClock(0);
