Start through a shortage of sockets, and count a request's time in the kernel's queue

At fault: Node.bind waited for a predecessor's address alone and ended on every other failure; Flows.take counted a request's time from the event loop's last look, though its connection may have waited in the kernel's queue since accepts began to fail.

StartRetry takes the steps of a start again that fail for a cause which may pass, for 10 s. Listener says for how long a connection may have waited: since the first accept that failed or found no room, or since the loop's last look; the first request's deadline runs from there.

--- a/lab/src/main/java/fawnlb/lab/scenario/Soak.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/Soak.java
@@ -170,11 +170,7 @@
             case SERVER_DIES -> dies(server, millis);
             case SERVER_IS_SILENT -> silent(server, millis);
             case SERVER_DRAINS -> replaced(server, millis);
-            case SERVER_IS_SLOW -> {
-                Stage.on(stage.fleet, () -> server.slow(0.3));
-                TimeUnit.MILLISECONDS.sleep(millis);
-                Stage.on(stage.fleet, () -> server.slow(1));
-            }
+            case SERVER_IS_SLOW -> slow(server, millis);
             case ANSWERS_ARE_SPOILT -> spoilt(server, which, millis);
             case DISCOVERY_IS_DOWN -> discoveryDown(millis);
             case HALF_REQUESTS -> clientsWithHalfRequests(number, which);
@@ -260,6 +256,12 @@
         return new Member(listed.id(), listed.host(), listed.port(), listed.zone(), listed.kind(), 0, phase, 1, System.currentTimeMillis());
     }
 
+    private void slow(EngineServer server, int millis) throws Exception {
+        Stage.on(stage.fleet, () -> server.slow(0.3));
+        TimeUnit.MILLISECONDS.sleep(millis);
+        Stage.on(stage.fleet, () -> server.slow(1));
+    }
+
     private void dies(EngineServer server, int millis) throws Exception {
         Stage.on(stage.fleet, server::die);
         TimeUnit.MILLISECONDS.sleep(millis);
--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -41,19 +41,15 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
-import java.io.InterruptedIOException;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.logging.Logger;
 import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
@@ -71,8 +67,6 @@
     private static final long TURN_MS = 20;
     /** How often a planned end says what it waits for. */
     private static final long STILL_SERVING = 5 * SECOND;
-    /** A predecessor accepts for 0.6 s after SIGTERM and may have little of a core; readiness is waited for for 30 s. */
-    private static final long PREDECESSOR = 10 * SECOND;
     private static final int MAILBOX = 8192;
     private static final int BUFFER = 8192;
     /**
@@ -109,6 +103,7 @@
     private boolean ended;
     private boolean started;
     private volatile boolean toldToEnd;
+    private final StartRetry retry = new StartRetry(() -> toldToEnd);
     private XnioWorker worker;
     private PlatformFront front;
     private Flows flows;
@@ -125,7 +120,7 @@
 
     synchronized void start() throws IOException {
         Settings settings = config.settings();
-        worker = createWorker();
+        worker = retry.take("I/O thread", Node::createWorker);
         XnioIoThread thread = worker.getIoThread();
         IoTimers timers = new IoTimers(thread);
         connections = new Connections(new Connections.Limits(clientShare(config), IDLE, HEAD), timers);
@@ -180,7 +175,7 @@
         return views;
     }
 
-    private XnioWorker createWorker() throws IOException {
+    private static XnioWorker createWorker() throws IOException {
         return Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.THREAD_DAEMON, false).getMap());
@@ -260,42 +255,12 @@
                 ClientExchange.write(exchange, NO_ROOM, SECOND);
             }
         });
-        Listener listener = bind(address, new Listener.Limits(most, BACKLOG, SEND_BUFFER), timers,
-                connection -> connections.accept(connection, reader));
+        Listener listener = retry.take(address.toString(), () -> new Listener(address, new Listener.Limits(most, BACKLOG, SEND_BUFFER),
+                timers, (connection, waited) -> connections.accept(connection, waited, reader)));
         listener.start(worker.getIoThread());
         listeners.add(listener);
     }
 
-    /** A predecessor that is still ending has the address for a moment more, and is no reason not to start. */
-    private Listener bind(InetSocketAddress address, Listener.Limits limits, Timers timers, Consumer<StreamConnection> taker)
-            throws IOException {
-        long began = System.nanoTime();
-        boolean said = false;
-        while (true) {
-            try {
-                return new Listener(address, limits, timers, taker);
-            } catch (BindException e) {
-                String why = String.valueOf(e.getMessage());
-                if (!why.contains("in use") || System.nanoTime() - began > PREDECESSOR) {
-                    throw new BindException(address + ": " + why);
-                }
-                if (toldToEnd) {
-                    throw new InterruptedIOException("told to end while " + address + " was in use");
-                }
-                if (!said) {
-                    said = true;
-                    LOG.warning(address + " is still in use; waits for it for " + PREDECESSOR / SECOND + " s");
-                }
-            }
-            try {
-                Thread.sleep(20);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                throw new InterruptedIOException("interrupted while waiting for " + address);
-            }
-        }
-    }
-
     private FlowLog flowLog(XnioIoThread thread, IoTimers timers) throws IOException {
         BrokerConfig.Syslog syslog = broker.syslog();
         if (syslog == null) {
--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -28,6 +28,7 @@
 public final class ClientExchange implements ClientConnection, Source.Sink {
     private static final Logger LOG = Logger.getLogger(ClientExchange.class.getName());
     private static final AttachmentKey<Serving> SERVING = AttachmentKey.create(Serving.class);
+    private static final AttachmentKey<Long> QUEUED = AttachmentKey.create(Long.class);
 
     /** The ends of an event, as the last bytes that were passed on. */
     private static final int BLANK_LINE = 0x0a0a;
@@ -54,6 +55,17 @@
         this.replies = replies;
     }
 
+    /** Notes for how long the request may have waited before its connection was accepted, in nanoseconds. */
+    static void noteQueued(HttpServerExchange exchange, long nanos) {
+        exchange.putAttachment(QUEUED, nanos);
+    }
+
+    @Override
+    public long queued() {
+        Long nanos = exchange.getAttachment(QUEUED);
+        return nanos == null ? 0 : nanos;
+    }
+
     /** From here on the exchange answers for the flow, and tells it if the client leaves. */
     public void serve(Flows.Ticket taken) {
         ticket = taken;
--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -63,6 +64,8 @@
 
     /** Those that have been idle, or reading a head, for longest come first. */
     private final Map<StreamConnection, Activity> open = new LinkedHashMap<>();
+    /** Since when the first request of a connection may have waited in the kernel's queue. */
+    private final Map<StreamConnection, Long> queuedSince = new HashMap<>();
     private final Limits limits;
     private final Timers timers;
     private volatile boolean draining;
@@ -102,14 +105,21 @@
         return limits.open() + SPARE;
     }
 
-    /** Takes a new connection and hands it to whoever reads it. */
-    public void accept(StreamConnection connection, ChannelListener<? super StreamConnection> reader) {
+    /**
+     * Takes a new connection and hands it to whoever reads it.
+     *
+     * @param waited for how long its first request may have been in the kernel's queue, in nanoseconds
+     */
+    public void accept(StreamConnection connection, long waited, ChannelListener<? super StreamConnection> reader) {
         if (size() >= limits.open() && !closeOneWithoutRequest() && size() >= mostAccepted()) {
             Metrics.count(Metric.CLIENT_CONNECTIONS_CLOSED, CloseReason.NO_ROOM_UNREAD);
             IoUtils.safeClose(connection);
             return;
         }
         enter(connection, Phase.IDLE);
+        if (waited > 0) {
+            queuedSince.put(connection, timers.now() - waited);
+        }
         ConduitStreamSourceChannel source = connection.getSourceChannel();
         source.setConduit(new HeadWatch(source.getConduit(), timers::handlingEvent, () -> headBegins(connection)));
         reader.handleEvent(connection);
@@ -160,6 +170,7 @@
 
     private synchronized void closed(StreamConnection connection) {
         open.remove(connection);
+        queuedSince.remove(connection);
     }
 
     /**
@@ -170,6 +181,10 @@
         StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
         synchronized (this) {
             open.replace(connection, new Activity(Phase.SERVING, timers.now()));
+            Long since = queuedSince.remove(connection);
+            if (since != null) {
+                ClientExchange.noteQueued(exchange, timers.now() - since);
+            }
         }
         boolean room = size() <= limits.open() || closeOneWithoutRequest();
         if (!room) {
--- a/node/src/main/java/fawnlb/client/Listener.java
+++ b/node/src/main/java/fawnlb/client/Listener.java
@@ -9,7 +9,6 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.function.Consumer;
 import java.util.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -32,6 +31,7 @@
     private static final long LOG_PAUSE = 10_000_000_000L;
     /** A planned end waits so long for an accept that keeps failing, in nanoseconds; then the socket closes over who waits. */
     private static final long MAX_CLOSING = 2_000_000_000L;
+    private static final long NOT_BLOCKED = Long.MIN_VALUE;
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
 
     /** Accepts one socket, null if nobody waits. */
@@ -40,6 +40,13 @@
         SocketChannel accept() throws IOException;
     }
 
+    /** Takes a new connection on the I/O thread. */
+    @FunctionalInterface
+    public interface Taker {
+        /** Waited: for how long it may have been in the kernel's queue, with a request on it, in nanoseconds. */
+        void take(StreamConnection connection, long waited);
+    }
+
     /** Limits of one listener; {@code maxOpen}: connections that are accepted here and still open; {@code sendBuffer}: in bytes. */
     public record Limits(int maxOpen, int backlog, int sendBuffer) { }
 
@@ -47,20 +54,22 @@
     private final Acceptor acceptor;
     private final Limits limits;
     private final Timers timers;
-    private final Consumer<StreamConnection> taker;
+    private final Taker taker;
     private ListeningSocket socket;
     private int open;
     private int failures;
     private long loggedAt;
     private boolean full;
+    /** Since when somebody may wait in the kernel's queue, since nobody could be accepted. */
+    private long blockedSince = NOT_BLOCKED;
     private boolean closing;
 
     /** A listener that is bound and accepts nobody yet; each connection goes to the taker, on the I/O thread. */
-    public Listener(InetSocketAddress address, Limits limits, Timers timers, Consumer<StreamConnection> taker) throws IOException {
+    public Listener(InetSocketAddress address, Limits limits, Timers timers, Taker taker) throws IOException {
         this(bind(address, limits.backlog()), null, limits, timers, taker);
     }
 
-    Listener(ServerSocketChannel channel, Acceptor acceptor, Limits limits, Timers timers, Consumer<StreamConnection> taker) {
+    Listener(ServerSocketChannel channel, Acceptor acceptor, Limits limits, Timers timers, Taker taker) {
         this.channel = channel;
         this.acceptor = acceptor == null ? channel::accept : acceptor;
         this.limits = limits;
@@ -97,6 +106,7 @@
         if (closing) {
             return;
         }
+        timers.handlingEvent();
         Result result = accept(MAX_PER_TURN);
         if (result == Result.FULL) {
             full = true;
@@ -117,6 +127,16 @@
     private enum Result { NOBODY_WAITS, MORE, FULL, FAILED }
 
     private Result accept(int max) {
+        Result result = acceptUpTo(max);
+        if (result == Result.NOBODY_WAITS) {
+            blockedSince = NOT_BLOCKED;
+        } else if (blockedSince == NOT_BLOCKED) {
+            blockedSince = timers.now() - timers.eventAge();
+        }
+        return result;
+    }
+
+    private Result acceptUpTo(int max) {
         for (int i = 0; i < max; i++) {
             if (open >= limits.maxOpen()) {
                 return Result.FULL;
@@ -150,7 +170,7 @@
             return;
         }
         open++;
-        taker.accept(connection);
+        taker.take(connection, Math.max(timers.eventAge(), blockedSince == NOT_BLOCKED ? 0 : timers.now() - blockedSince));
     }
 
     private void connectionClosed() {
--- a/node/src/main/java/fawnlb/flow/ClientConnection.java
+++ b/node/src/main/java/fawnlb/flow/ClientConnection.java
@@ -7,6 +7,11 @@
     /** Whether the client is there now, as its connection says at this moment and not when it was last looked at. */
     boolean present();
 
+    /** For how long the request may have waited before its connection was accepted, in nanoseconds. */
+    default long queued() {
+        return 0;
+    }
+
     /** A backend's stream is the answer. */
     void streaming(Source source);
 
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -109,7 +109,7 @@
     /** Takes a flow; null if there is no room for one more, and the front must refuse it. */
     public Ticket take(Ask ask, ClientConnection client) {
         // Its time runs from its arrival: on a busy thread it has waited, and a backend must not be told of time that has passed.
-        long taken = timers.now() - Math.max(0, timers.eventAge() - UNCOUNTED_WAIT);
+        long taken = timers.now() - Math.max(0, Math.max(timers.eventAge(), client.queued()) - UNCOUNTED_WAIT);
         Ticket[] ticket = new Ticket[1];
         Flow[] flow = new Flow[1];
         boolean room = !closed && open < settings.limits().open() && mailbox.tell(() -> flow[0] = begin(ask, client, taken),
--- a/node/src/test/java/fawnlb/client/ConnectionsTest.java
+++ b/node/src/test/java/fawnlb/client/ConnectionsTest.java
@@ -114,7 +114,7 @@
 
     /** A client that was served once; its next request is written while the I/O thread waits, which then does this. */
     private void whileOneHasAsked(Socket kept, StreamConnection first, Runnable next) throws Exception {
-        onIoThread(() -> connections.accept(first, reader));
+        onIoThread(() -> connections.accept(first, 0, reader));
         ask(kept);
         assertServed(kept);
         whileWritten(kept, REQUEST, next);
@@ -153,7 +153,7 @@
             StreamConnection first = accepted.poll(10, TimeUnit.SECONDS);
             try (Socket late = connect()) {
                 StreamConnection second = accepted.poll(10, TimeUnit.SECONDS);
-                whileOneHasAsked(kept, first, () -> connections.accept(second, reader));
+                whileOneHasAsked(kept, first, () -> connections.accept(second, 0, reader));
                 ask(late);
                 assertServed(late);
             }
@@ -196,7 +196,7 @@
         try (Socket flood = connect(); Socket other = connect()) {
             for (int i = 0; i < 2; i++) {
                 StreamConnection next = accepted.poll(10, TimeUnit.SECONDS);
-                onIoThread(() -> connections.accept(next, reader));
+                onIoThread(() -> connections.accept(next, 0, reader));
             }
             flood.getOutputStream().write("GET /ahead HTTP/1.1\r\nHost: x\r\n\r\n".repeat(ahead).getBytes(StandardCharsets.ISO_8859_1));
             assertTrue(begun.await(10, TimeUnit.SECONDS));
@@ -215,7 +215,7 @@
         int half = REQUEST.length() / 2;
         try (Socket kept = connect()) {
             StreamConnection accepting = accepted.poll(10, TimeUnit.SECONDS);
-            onIoThread(() -> connections.accept(accepting, reader));
+            onIoThread(() -> connections.accept(accepting, 0, reader));
             ask(kept);
             assertServed(kept);
             whileWritten(kept, REQUEST.substring(0, half), task);
@@ -243,7 +243,7 @@
     public void halfHeadIsClosedUponAtItsLimit() throws Exception {
         try (Socket client = connect()) {
             StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
-            onIoThread(() -> connections.accept(connection, reader));
+            onIoThread(() -> connections.accept(connection, 0, reader));
             whileWritten(client, "GET / HT", () -> {
                 retire.run();
                 assertTrue(connection.isOpen());
@@ -261,7 +261,7 @@
     public void halfHeadBehindARequestIsClosedUponAtItsLimit() throws Exception {
         try (Socket client = connect()) {
             StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
-            onIoThread(() -> connections.accept(connection, reader));
+            onIoThread(() -> connections.accept(connection, 0, reader));
             write(client, REQUEST + "GET / HT");
             assertServed(client);
             onIoThread(() -> now += HEAD + PATIENCE);
@@ -279,8 +279,8 @@
             StreamConnection first = accepted.poll(10, TimeUnit.SECONDS);
             StreamConnection second = accepted.poll(10, TimeUnit.SECONDS);
             servesRequestWhoseHeadHasBegun(() -> {
-                connections.accept(first, reader);
-                connections.accept(second, reader);
+                connections.accept(first, 0, reader);
+                connections.accept(second, 0, reader);
             });
             assertEquals("idle, and closed", -1, idle.getInputStream().read());
             ask(late);
@@ -297,7 +297,7 @@
         });
         try (Socket client = connect()) {
             StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
-            onIoThread(() -> connections.accept(connection, reader));
+            onIoThread(() -> connections.accept(connection, 0, reader));
             write(client, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\nbegun");
             assertTrue(new BufferedReader(new InputStreamReader(client.getInputStream())).lines().anyMatch("too large"::equals));
             for (int piece = 0; piece < 2; piece++) {
@@ -317,7 +317,7 @@
         });
         try (Socket client = connect()) {
             StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
-            onIoThread(() -> connections.accept(connection, reader));
+            onIoThread(() -> connections.accept(connection, 0, reader));
             ask(client);
             assertServed(client);
             onIoThread(() -> {
--- a/node/src/test/java/fawnlb/client/ListenerTest.java
+++ b/node/src/test/java/fawnlb/client/ListenerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -35,6 +36,7 @@
 
     private final List<Socket> clients = new ArrayList<>();
     private final BlockingQueue<StreamConnection> accepted = new LinkedBlockingQueue<>();
+    private final List<Long> waits = new CopyOnWriteArrayList<>();
     /** Accepts left that fail. */
     private int failing;
     private int tried;
@@ -59,7 +61,10 @@
                 throw new IOException("Too many open files in system");
             }
             return channel.accept();
-        }, new Listener.Limits(maxOpen, 100, 65536), timers, accepted::add);
+        }, new Listener.Limits(maxOpen, 100, 65536), timers, (connection, waited) -> {
+            waits.add(waited);
+            accepted.add(connection);
+        });
     }
 
     @After
@@ -161,6 +166,33 @@
         assertTrue(tried >= 4);
     }
 
+    @Test
+    public void whoConnectedWhileAcceptsFailedCountsAsWaitingSinceTheFirstOfThem() throws Exception {
+        AtomicLong now = new AtomicLong(1000);
+        Timers real = timers;
+        timers = new Timers() {
+            @Override
+            public long now() {
+                return now.get();
+            }
+
+            @Override
+            public Timer after(long nanos, Runnable task) {
+                now.addAndGet(nanos);
+                return real.after(0, task);
+            }
+        };
+        listenFor(CLIENTS);
+        failing = 7;
+        connect(1);
+        listener.start(worker.getIoThread());
+        next();
+        onIoThread(() -> { });
+        connect(1);
+        next();
+        assertEquals(List.of(7 * Listener.PAUSE, 0L), waits);
+    }
+
     @Test
     public void beyondTheLimitNextIsAcceptedWhenOneHasClosed() throws Exception {
         listenFor(2);
