--- a/lab/src/test/java/fawnlb/lab/scenario/SystemFaultsIT.java
+++ b/lab/src/test/java/fawnlb/lab/scenario/SystemFaultsIT.java
@@ -8,6 +8,7 @@
 import fawnlb.lab.engine.EngineServer;
 import fawnlb.lab.engine.Kind;
 import fawnlb.lab.engine.Speech;
+import fawnlb.lab.net.Fault;
 import fawnlb.lab.node.NodeProcess;
 import fawnlb.lab.shim.FaultShim;
 import java.io.IOException;
@@ -145,6 +146,30 @@
         assertEquals(Map.of(), stage.rules.broken());
     }
 
+    /** By the operators' page the process may be killed 3.7 s after it was told to end, where deadlines are longer than 3 s. */
+    @Test
+    public void plannedEndAnswersInTimeWhatWaitsForServersThatHang() throws Exception {
+        NodeProcess node = start(2);
+        Stage.on(stage.fleet, () -> {
+            for (EngineServer server : stage.boxes) {
+                server.spoil(id -> new Fault(Fault.Kind.STALL, 0, 0));
+            }
+        });
+        try (Socket socket = connect(node)) {
+            String body = "{\"model\":\"m\",\"stream\":true,\"max_tokens\":2,\"messages\":[]}";
+            socket.getOutputStream().write(("POST /v1/chat/completions?out=2 HTTP/1.1\r\nHost: x\r\nX-Request-Id: 5eedfeed"
+                    + "\r\nX-Class: advisor-chat\r\nX-Key: 1\r\nX-Deadline-Ms: 7500\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.MILLISECONDS.sleep(300);
+            long told = System.nanoTime();
+            node.signal("TERM");
+            String answer = new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+            long took = System.nanoTime() - told;
+            assertTrue(answer, answer.startsWith("HTTP/1.1 50"));
+            assertTrue("answered after " + took / MS + " ms", took < 3700 * MS);
+        }
+    }
+
     /** When the connection closes on which half a head was written, in nanoseconds; the wall clock steps meanwhile. */
     private long halfHeadClosesAfter(NodeProcess node, long step) throws Exception {
         shim.stepWallClock(0);
