Answer within 3.2 s of SIGTERM what still waits for an answer to begin

At fault: Node.drain and Flows kept each request's own deadline through a planned end. Ruled out: the module's first-token timeout (it stops the first attempt of a repeatable request alone; the second one waits to the deadline).

Flows.beginPlannedEnd moves the core's own final answer of all requests to 3.2 s after SIGTERM, those that come later included; it refuses where the class allows it and fails otherwise.

--- a/node/src/main/java/fawnlb/cli/Node.java
+++ b/node/src/main/java/fawnlb/cli/Node.java
@@ -290,6 +290,7 @@
             if (!ended && started()) {
                 front.drain();
                 connections.drain();
+                flows.beginPlannedEnd();
                 try {
                     Thread.sleep(STILL_ACCEPTED_MS);
                     flows.takeNoMore();
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -30,6 +30,12 @@
     /** A process may be held up for so long between its look at the clock and the write. */
     static final long HELD_UP = 150_000_000;
 
+    /**
+     * A planned end answers by then what has not begun to be answered, in nanoseconds: the operators kill the process 3.7 s after
+     * SIGTERM at the soonest, however long the deadlines are.
+     */
+    static final long PLANNED_END = 3_200_000_000L;
+
     private final Balancer.Settings settings;
     private final Balancer balancer;
     private final Mailbox mailbox;
@@ -38,6 +44,7 @@
     private final Roster roster;
     private final Map<Long, Flow> flows = new HashMap<>();
     private long lastId;
+    private long endBy = NEVER;
     private volatile int open;
     private volatile boolean closed;
 
@@ -101,6 +108,22 @@
         return open;
     }
 
+    /** The process is to end: what still waits for an answer to begin gets one soon, whatever the backends do. */
+    public void beginPlannedEnd() {
+        mailbox.tellAlways(() -> {
+            endBy = timers.now() + PLANNED_END;
+            flows.values().stream().filter(flow -> !flow.over).forEach(flow -> {
+                flow.lastCall.cancel();
+                armLastCall(flow);
+            });
+        });
+    }
+
+    private void armLastCall(Flow flow) {
+        flow.lastCall = timers.after(Math.min(flow.deadline + LAST_CALL, endBy) - timers.now(),
+                () -> mailbox.tellOrFail(() -> lastCall(flow), () -> abandon(flow)));
+    }
+
     /** From here on no flow is taken: the node ends, and may not be given the time for its stream. */
     public void takeNoMore() {
         closed = true;
@@ -132,8 +155,7 @@
         Flow flow = new Flow(++lastId, ask, client, taken + patience);
         flows.put(flow.id, flow);
         open = flows.size();
-        flow.lastCall = timers.after(flow.deadline + LAST_CALL - timers.now(),
-                () -> mailbox.tellOrFail(() -> lastCall(flow), () -> abandon(flow)));
+        armLastCall(flow);
         tell(new Balancer.Request(flow.id, ask.type(), ask.tenant(), ask.session(), ask.prefix(),
                 Math.max(0, flow.deadline - timers.now()), 0, ask.promptTokens(), ask.prefixTokens(),
                 ask.maxTokens(), false, ask.repeat(), false));
@@ -155,8 +177,8 @@
 
     private void lastCall(Flow flow) {
         if (!flow.over) {
-            LOG.warning(name(flow) + " had no answer at its deadline, after " + flow.attempts + " attempt(s)"
-                    + (flow.out == null ? "" : ", one of them still out"));
+            LOG.warning(name(flow) + (timers.now() < endBy ? " had no answer at its deadline" : " is answered since the process ends")
+                    + ", after " + flow.attempts + " attempt(s)" + (flow.out == null ? "" : ", one of them still out"));
             boolean harmless = type(flow).refusable(flow.out != null || flow.ranFrom != NEVER);
             finish(flow, () -> {
                 if (harmless) {
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -401,6 +401,27 @@
         assertEquals(violations + 1, Metrics.value(Metrics.Metric.INVARIANT_VIOLATIONS, "repeated_as_effect_allows"));
     }
 
+    /** The process is killed 3.7 s after it was told to end, whatever the servers do that hang all the while. */
+    @Test
+    public void plannedEndAnswersInTimeWhatWaitsForServersThatHang() {
+        for (String effect : new String[] {"safe", "unsafe"}) {
+            seen.clear();
+            reports.clear();
+            flows = flows("profiles.count=1\nprofiles.0.effect=" + effect);
+            flows.take(new Ask(0, 0, 1, 0, 7500 * MS, 1, 0, 1, false, null), new Client());
+            module.act(new Send(1, 7, 0));
+            flows.beginPlannedEnd();
+            flows.take(new Ask(0, 0, 2, 0, 7500 * MS, 1, 0, 1, false, null), new Client());
+            module.act(new Send(2, 8, 0));
+            hand.pass(Flows.PLANNED_END - MS);
+            assertEquals(List.of("forward 7", "forward 8"), seen);
+            hand.pass(2 * MS);
+            String answer = effect.equals("safe") ? "refused" : "failed";
+            assertEquals(seen.toString(), 2, seen.stream().filter(line -> line.startsWith(answer)).count());
+            assertEquals(0, flows.open());
+        }
+    }
+
     /** A stall of the thread with thousands of messages waiting must not cost a change of membership, or the timer that asks for it. */
     @Test
     public void fullMailboxMissesNoChangeOfMembershipNoTimerAndNoClientThatLeaves() {
