Leave a call to discovery that a move has made its turn

SilentWatchTest forces the order (it failed with a closed connection before); Discovery.subscribe leaves a call alone that is out.

--- a/node/src/main/java/fawnlb/discovery/Discovery.java
+++ b/node/src/main/java/fawnlb/discovery/Discovery.java
@@ -98,7 +98,12 @@
 
     @Override
     public void subscribe() {
-        mailbox.tellAlways(this::watchAgain);
+        mailbox.tellAlways(() -> {
+            // A call that a move has made keeps its turn at the new address; a limit of its own ends it.
+            if (watch == null || !watch.isCallOut()) {
+                watchAgain();
+            }
+        });
     }
 
     private void watchAgain() {
@@ -184,6 +189,11 @@
             });
         }
 
+        /** Whether it is a call that was neither answered nor has failed. */
+        boolean isCallOut() {
+            return !done && !told;
+        }
+
         private void expectAnswer() {
             wakeAfter(ANSWER, () -> fail("silent"));
         }
--- a/node/src/test/java/fawnlb/discovery/SilentWatchTest.java
+++ b/node/src/test/java/fawnlb/discovery/SilentWatchTest.java
@@ -129,6 +129,23 @@
         assertEquals("it is watched as before", ListKind.FAILED, heard.poll());
     }
 
+    /** SIGHUP while the next call is due soon: the call that goes to the new address keeps its turn there. */
+    @Test
+    public void callThatAMoveHasMadeIsNotMadeAgainWhileItIsOut() throws Exception {
+        pass(Discovery.SILENCE);
+        assertEquals(ListKind.FAILED, heard.poll());
+        try (ServerSocket next = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            next.setSoTimeout(10_000);
+            discovery.move(new InetSocketAddress(next.getInetAddress(), next.getLocalPort()));
+            onIoThread(() -> { });
+            watch = next.accept();
+            onIoThread(discovery::subscribe);
+            write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            writeChunk(LINE);
+            assertEquals(ListKind.FULL, heard.poll(10, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     public void nextCallReplacesSilentWatch() throws Exception {
         pass(Discovery.SILENCE);
