Let some requests of the soak run once alone, and give nodes ports of their own

Its port, 36393, lies in the range from which Linux takes the ports of outgoing connections, and one of another process had it while the node was down; the lab draws ports below that range now. RuleCheckerTest breaks each new rule once.

--- a/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
+++ b/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
@@ -233,6 +233,7 @@
             }
             return;
         }
+        rules.ran(ask.id());
         exchange.spoil(faults.apply(ask.id()));
         exchange.whenClosed(answer::cancelled);
         step(engine);
--- a/lab/src/main/java/fawnlb/lab/load/Clients.java
+++ b/lab/src/main/java/fawnlb/lab/load/Clients.java
@@ -4,6 +4,7 @@
 import fawnlb.http.Connection;
 import fawnlb.http.Response;
 import fawnlb.lab.load.Plan.Turn;
+import fawnlb.lab.node.NodeProcess;
 import fawnlb.lab.rules.RuleChecker;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -48,6 +49,7 @@
     private long start;
     private long firstServed = -1;
     private long waitBeyondDeadline;
+    private boolean someRunOnce;
     private int open;
     private int tries;
     private long ids;
@@ -79,6 +81,11 @@
         waitBeyondDeadline = nanos;
     }
 
+    /** Every third session's requests are of the class that may run once alone. */
+    public void someRunOnce() {
+        someRunOnce = true;
+    }
+
     /** Asks every turn at its time, counted from now. */
     public void play(List<Turn> turns) {
         start = timers.now();
@@ -220,8 +227,12 @@
             String body = "{\"model\":\"advisor\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"?\"}]}";
             rules.asked(id, node.name);
             rules.wants(id, deadline);
+            boolean once = someRunOnce && turn.session() % 3 == 0;
+            if (once) {
+                rules.runsOnce(id);
+            }
             connection.send(this, ByteBuffer.wrap(("POST " + path + " HTTP/1.1\r\nHost: lab\r\nX-Request-Id: " + id
-                    + "\r\nX-Class: advisor-chat\r\nX-Key: " + String.format("%016x", turn.session()) + "\r\nX-Deadline-Ms: "
+                    + "\r\nX-Class: " + (once ? NodeProcess.ONCE : NodeProcess.SAFE) + "\r\nX-Key: " + String.format("%016x", turn.session()) + "\r\nX-Deadline-Ms: "
                     + Math.max(1, (deadline - timers.now()) / MS) + "\r\nX-Extras: prefix=" + String.format("%016x", turn.prefix())
                     + ",prompt_len=" + turn.prompt() + ",prefix_len=" + turn.prefixLength() + ",max_out=800\r\nContent-Length: "
                     + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1)));
@@ -284,6 +295,9 @@
             } else {
                 rules.answered(id, false, 0);
                 boolean refused = status == 503 || status == 429;
+                if (refused) {
+                    rules.refused(id);
+                }
                 long wait = refused && !retryAfter.isEmpty() ? (long) (Double.parseDouble(retryAfter) * S) : client.pause();
                 client.again(refused ? End.REFUSED : End.FAILED, wait);
             }
--- a/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
+++ b/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
@@ -5,6 +5,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -29,6 +31,14 @@
     private static final int SYSTEM_TICKS = 12;
     private static final double TICK_SECONDS = 0.01;
 
+    private static final int FIRST_PORT = 15_000;
+    private static final int PORTS = 17_000;
+    private static final int MAX_PORTS_TRIED = 1000;
+
+    /** Classes of request: one that may be repeated, and one that may run once alone. */
+    public static final String SAFE = "advisor-chat";
+    public static final String ONCE = "ledger-entry";
+
     private final String name;
     private final InetSocketAddress address;
     private final Path folder;
@@ -44,11 +54,20 @@
         this.address = new InetSocketAddress("127.0.0.1", freePort());
     }
 
-    /** A port that is free at the moment. */
+    /**
+     * A port that is free at the moment, and not one of those that Linux gives to outgoing connections: while a node is down, any of
+     * these would take its address.
+     */
     public static int freePort() throws IOException {
-        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return any.getLocalPort();
+        for (int tries = 0; tries < MAX_PORTS_TRIED; tries++) {
+            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket any = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return any.getLocalPort();
+            } catch (BindException e) {
+                // Somebody has it.
+            }
         }
+        throw new IOException("no free port from " + FIRST_PORT + " on");
     }
 
     public String name() {
@@ -185,8 +204,10 @@
             strings(out, "localities", setting.zones());
             strings(out, "host-types", setting.kinds());
             out.writeArrayFieldStart("profiles");
-            object(out, Map.of("name", "advisor-chat", "effect", "safe", "group", "all", "on-time-ns", 1_500_000_000L,
-                    "deadline-ns", 7_500_000_000L, "late-worth", 0.25, "credit", 1.0, "stream", true));
+            for (String[] named : new String[][] {{SAFE, "safe"}, {ONCE, "unsafe"}}) {
+                object(out, Map.of("name", named[0], "effect", named[1], "group", "all", "on-time-ns", 1_500_000_000L,
+                        "deadline-ns", 7_500_000_000L, "late-worth", 0.25, "credit", 1.0, "stream", true));
+            }
             out.writeEndArray();
             out.writeFieldName("limits");
             object(out, Map.of("most-tries", 6, "most-held", 2000, "may-cancel", true, "retry-after", true,
--- a/lab/src/main/java/fawnlb/lab/rules/RuleChecker.java
+++ b/lab/src/main/java/fawnlb/lab/rules/RuleChecker.java
@@ -31,12 +31,15 @@
 
     /** The rules, by the names under which they are reported. */
     public enum Rule { ONE_ANSWER, ONE_ATTEMPT_AT_ONCE, SIX_ATTEMPTS, DRAIN_KEPT, NO_COLD_BOX_PUSHED_OVER, MADE_BY_A_BOX, IN_TIME,
-        NOT_FOR_THOSE_WHO_LEFT, DEADLINE_TOLD }
+        NOT_FOR_THOSE_WHO_LEFT, DEADLINE_TOLD, RUN_ONCE }
 
     private static final class Asked {
         final String node;
         long deadline = Long.MAX_VALUE;
         long leftAt = Long.MAX_VALUE;
+        /** It may run once alone, and has been taken by a box. */
+        boolean once;
+        boolean ran;
         /** Its node was killed, or the client has left: nothing more is owed. */
         boolean released;
         int answers;
@@ -68,6 +71,27 @@
         asked.get(id).deadline = deadline;
     }
 
+    /** The request's class may not be run more than once. */
+    public synchronized void runsOnce(String id) {
+        asked.get(id).once = true;
+    }
+
+    /** A box has taken the request: its effect may be there from now on. */
+    public synchronized void ran(String id) {
+        Asked request = asked.get(id);
+        if (request != null) {
+            request.ran = true;
+        }
+    }
+
+    /** A client was told that trying again is harmless. */
+    public synchronized void refused(String id) {
+        Asked request = asked.get(id);
+        if (request.once && request.ran) {
+            breaks(Rule.RUN_ONCE, id + " was refused by " + request.node + " after it had run");
+        }
+    }
+
     /** A client has closed its connection before its answer had begun. */
     public synchronized void left(long now, String id) {
         asked.get(id).leftAt = now;
@@ -137,6 +161,9 @@
         if (now - LEFT - CROSSING > request.leftAt) {
             breaks(Rule.NOT_FOR_THOSE_WHO_LEFT, id + " was sent " + (now - request.leftAt) / 1_000_000 + " ms after its client had left");
         }
+        if (request.once && request.ran) {
+            breaks(Rule.RUN_ONCE, id + " was sent to " + box + " after it had run at " + request.box);
+        }
         if (++request.attempts > attempts) {
             breaks(Rule.SIX_ATTEMPTS, id + " was tried " + request.attempts + " times");
         }
--- a/lab/src/main/java/fawnlb/lab/scenario/Soak.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/Soak.java
@@ -81,6 +81,7 @@
             List<Plan.Turn> turns = Plan.draw(random, RATE * nodes, seconds);
             Clients clients = new Clients(stage.callers.getIoThread(), stage.clock, stage.rules, stage.addresses(), seconds + 1, seed);
             clients.waitBeyondDeadline(BEYOND_DEADLINE);
+            clients.someRunOnce();
             startedAt = System.nanoTime();
             Stage.on(stage.callers, () -> clients.play(turns));
             while (System.nanoTime() - startedAt < seconds * S) {
--- a/lab/src/test/java/fawnlb/lab/rules/RuleCheckerTest.java
+++ b/lab/src/test/java/fawnlb/lab/rules/RuleCheckerTest.java
@@ -56,6 +56,73 @@
         }));
     }
 
+    @Test
+    public void answerThatDoesNotBeginInTime() {
+        assertEquals(Set.of(Rule.IN_TIME), broken(rules -> rules.late("r")));
+        assertEquals("killed meanwhile", Set.of(), broken(rules -> {
+            rules.killed("n0");
+            rules.late("r");
+        }));
+    }
+
+    @Test
+    public void attemptForAClientThatHasLeft() {
+        assertEquals(Set.of(Rule.NOT_FOR_THOSE_WHO_LEFT), broken(rules -> {
+            rules.left(0, "r");
+            rules.sent(151 * MS, "r", "a", () -> true);
+        }));
+        assertEquals(Set.of(), broken(rules -> {
+            rules.left(0, "r");
+            rules.sent(150 * MS, "r", "a", () -> true);
+        }));
+    }
+
+    @Test
+    public void serverThatIsToldOfMoreTimeThanIsLeft() {
+        assertEquals(Set.of(Rule.DEADLINE_TOLD), broken(rules -> {
+            rules.wants("r", 1000 * MS);
+            rules.told(100 * MS, "r", 1051 * MS);
+        }));
+        assertEquals(Set.of(), broken(rules -> {
+            rules.wants("r", 1000 * MS);
+            rules.told(100 * MS, "r", 1050 * MS);
+        }));
+    }
+
+    @Test
+    public void requestThatMayRunOnceAlone() {
+        assertEquals(Set.of(Rule.RUN_ONCE), broken(rules -> {
+            rules.runsOnce("r");
+            rules.sent(0, "r", "a", () -> false);
+            rules.ran("r");
+            rules.sent(MS, "r", "b", () -> false);
+        }));
+        assertEquals(Set.of(Rule.RUN_ONCE), broken(rules -> {
+            rules.runsOnce("r");
+            rules.ran("r");
+            rules.refused("r");
+        }));
+        assertEquals("turned away by the first", Set.of(), broken(rules -> {
+            rules.runsOnce("r");
+            rules.sent(0, "r", "a", () -> false);
+            rules.sent(MS, "r", "b", () -> false);
+            rules.ran("r");
+        }));
+    }
+
+    @Test
+    public void connectionThatIsClosedUponARequestThatWasRead() {
+        assertEquals(Set.of(), broken(rules -> rules.closedUpon("r")));
+        assertEquals(Set.of(Rule.ONE_ANSWER), broken(rules -> {
+            rules.sent(0, "r", "a", () -> true);
+            rules.closedUpon("r");
+        }));
+        assertEquals("a reset that came from outside", Set.of(), broken(rules -> {
+            rules.excuse("n0", true);
+            rules.lost("r");
+        }));
+    }
+
     @Test
     public void sevenAttempts() {
         for (int attempts : new int[] {6, 7}) {
