--- a/lab/src/main/java/fawnlb/lab/load/Clients.java
+++ b/lab/src/main/java/fawnlb/lab/load/Clients.java
@@ -232,7 +232,8 @@
                 rules.runsOnce(id);
             }
             connection.send(this, ByteBuffer.wrap(("POST " + path + " HTTP/1.1\r\nHost: lab\r\nX-Request-Id: " + id
-                    + "\r\nX-Class: " + (once ? NodeProcess.ONCE : NodeProcess.SAFE) + "\r\nX-Key: " + String.format("%016x", turn.session()) + "\r\nX-Deadline-Ms: "
+                    + "\r\nX-Class: " + (once ? NodeProcess.ONCE : NodeProcess.SAFE) + "\r\nX-Key: "
+                    + String.format("%016x", turn.session()) + "\r\nX-Deadline-Ms: "
                     + Math.max(1, (deadline - timers.now()) / MS) + "\r\nX-Extras: prefix=" + String.format("%016x", turn.prefix())
                     + ",prompt_len=" + turn.prompt() + ",prefix_len=" + turn.prefixLength() + ",max_out=800\r\nContent-Length: "
                     + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1)));
--- a/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
+++ b/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
@@ -203,12 +203,7 @@
             out.writeNumberField("tick-ns", 5_000_000);
             strings(out, "localities", setting.zones());
             strings(out, "host-types", setting.kinds());
-            out.writeArrayFieldStart("profiles");
-            for (String[] named : new String[][] {{SAFE, "safe"}, {ONCE, "unsafe"}}) {
-                object(out, Map.of("name", named[0], "effect", named[1], "group", "all", "on-time-ns", 1_500_000_000L,
-                        "deadline-ns", 7_500_000_000L, "late-worth", 0.25, "credit", 1.0, "stream", true));
-            }
-            out.writeEndArray();
+            writeClasses(out);
             out.writeFieldName("limits");
             object(out, Map.of("most-tries", 6, "most-held", 2000, "may-cancel", true, "retry-after", true,
                     "max-retry-after-ns", 2_000_000_000L, "connect-timeout-ns", 250_000_000, "conn-idle-ns", 15_000_000_000L));
@@ -228,6 +223,15 @@
         }
     }
 
+    private static void writeClasses(JsonGenerator out) throws IOException {
+        out.writeArrayFieldStart("profiles");
+        for (String[] named : new String[][] {{SAFE, "safe"}, {ONCE, "unsafe"}}) {
+            object(out, Map.of("name", named[0], "effect", named[1], "group", "all", "on-time-ns", 1_500_000_000L,
+                    "deadline-ns", 7_500_000_000L, "late-worth", 0.25, "credit", 1.0, "stream", true));
+        }
+        out.writeEndArray();
+    }
+
     private static void strings(JsonGenerator out, String name, List<String> words) throws IOException {
         out.writeArrayFieldStart(name);
         for (String word : words) {
