--- a/node/src/main/java/fawnlb/client/Listener.java
+++ b/node/src/main/java/fawnlb/client/Listener.java
@@ -1,5 +1,6 @@
 package fawnlb.client;
 
+import fawnlb.actor.Guard;
 import fawnlb.actor.Timers;
 import fawnlb.metrics.Metrics;
 import fawnlb.metrics.Metrics.Metric;
@@ -93,7 +94,9 @@
 
     /** Accepts from here on; to be called once, on any thread. */
     public void start(XnioIoThread thread) throws IOException {
-        socket = ListeningSocket.register(thread, channel, this::acceptWaiting);
+        // What it throws would end the thread that carries all connections.
+        socket = ListeningSocket.register(thread, channel,
+                () -> Guard.run(this::acceptWaiting, "a connection could not be taken", () -> { }));
         socket.resumeAccepts();
     }
 
--- a/node/src/test/java/fawnlb/client/ListenerTest.java
+++ b/node/src/test/java/fawnlb/client/ListenerTest.java
@@ -193,6 +193,21 @@
         assertEquals(List.of(7 * Listener.PAUSE, 0L), waits);
     }
 
+    @Test
+    public void clientsAreAcceptedAfterOneThatCouldNotBeTaken() throws Exception {
+        int[] failures = {1};
+        listener = new Listener(channel, null, new Listener.Limits(CLIENTS, 100, 65536), timers, (connection, waited) -> {
+            if (failures[0]-- > 0) {
+                throw new IllegalStateException("meant to fail");
+            }
+            accepted.add(connection);
+        });
+        listener.start(worker.getIoThread());
+        connect(1);
+        connect(1);
+        next();
+    }
+
     @Test
     public void beyondTheLimitNextIsAcceptedWhenOneHasClosed() throws Exception {
         listenFor(2);
