--- a/lab/src/main/java/fawnlb/lab/shim/FaultShim.java
+++ b/lab/src/main/java/fawnlb/lab/shim/FaultShim.java
@@ -105,6 +105,11 @@
         words.put(place(call), error.number);
     }
 
+    /** The next so many of these calls fail. */
+    public void failNext(Call call, Errno error, int count) {
+        fail(call, error, -count);
+    }
+
     /** These calls work again. */
     public void heal(Call call) {
         words.put(place(call), 0);
--- a/lab/src/main/resources/fawnlb/lab/shim/faults.c
+++ b/lab/src/main/resources/fawnlb/lab/shim/faults.c
@@ -50,6 +50,16 @@
     if (at[0] == 0) {
         return 0;
     }
+    if (at[1] < 0) {
+        /* So many more, and then none. */
+        if (__atomic_add_fetch(&at[1], 1, __ATOMIC_RELAXED) == 0) {
+            errno = (int) __atomic_exchange_n(&at[0], 0, __ATOMIC_RELAXED);
+        } else {
+            errno = (int) at[0];
+        }
+        __atomic_add_fetch(&at[2], 1, __ATOMIC_RELAXED);
+        return 1;
+    }
     int64_t one_in = at[1] < 1 ? 1 : at[1];
     if (__atomic_add_fetch(&at[3], 1, __ATOMIC_RELAXED) % one_in != 0) {
         return 0;
--- a/lab/src/test/java/fawnlb/lab/scenario/SystemFaultsIT.java
+++ b/lab/src/test/java/fawnlb/lab/scenario/SystemFaultsIT.java
@@ -217,6 +217,39 @@
         }
     }
 
+    /** How long a request of a new conversation takes that is answered, in nanoseconds. */
+    private static long served(NodeProcess node, long number) throws IOException {
+        long began = System.nanoTime();
+        server(node, number);
+        return System.nanoTime() - began;
+    }
+
+    /** An attempt of which nothing could be written was left alone until its time was up, after 0.75 s. */
+    @Test
+    public void attemptThatCanNotBeWrittenIsRepeatedAtOnce() throws Exception {
+        NodeProcess node = start(3);
+        served(node, 1);
+        shim.failNext(FaultShim.Call.WRITE, FaultShim.Errno.ENOBUFS, 1);
+        long took = served(node, 2);
+        assertEquals(1, shim.failures(FaultShim.Call.WRITE));
+        assertTrue("answered after " + took / MS + " ms", took < 500 * MS);
+    }
+
+    /** Each such failure used to count against the server: a node with one server refused all for a second. */
+    @Test
+    public void connectThatFailsForWantOfAPortCostsNoAnswer() throws Exception {
+        NodeProcess node = start(1);
+        for (FaultShim.Errno error : List.of(FaultShim.Errno.EADDRNOTAVAIL, FaultShim.Errno.ENETUNREACH, FaultShim.Errno.ENOBUFS)) {
+            // No kept connection may do instead.
+            Stage.on(stage.fleet, () -> stage.boxes.get(0).replace(stage.boxes.get(0).id()));
+            TimeUnit.MILLISECONDS.sleep(200);
+            shim.failNext(FaultShim.Call.CONNECT, error, 2);
+            long took = served(node, error.ordinal());
+            assertTrue(error + ": answered after " + took / MS + " ms", took < 700 * MS);
+        }
+        assertEquals(6, shim.failures(FaultShim.Call.CONNECT));
+    }
+
     /** The share of requests that go to a server in its first four seconds, on a node that started with a wrong clock. */
     private double shareOfNewServer(long offset) throws Exception {
         shim.stepWallClock(offset);
--- a/node/src/main/java/fawnlb/snapshot/SnapshotStore.java
+++ b/node/src/main/java/fawnlb/snapshot/SnapshotStore.java
@@ -16,7 +16,7 @@
  * {@code FILE.tmp} and synced before any name changes, so whatever moment the process or the machine ends at, one
  * whole generation stands under one of the two names. One writer at a time; calls block on the disk.
  */
-public final class SnapshotStore {
+public class SnapshotStore {
     private final Path file;
     private final Path former;
     private final Path temporary;
--- a/node/src/test/java/fawnlb/client/ConnectionsTest.java
+++ b/node/src/test/java/fawnlb/client/ConnectionsTest.java
@@ -10,10 +10,12 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.lang.reflect.Field;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -239,6 +241,36 @@
         });
     }
 
+    /** Undertow's limits on idling, reading and writing count by the wall clock. */
+    @Test
+    public void noLimitOfUndertowsStandsOnAConnection() throws Exception {
+        try (Socket client = connect()) {
+            StreamConnection connection = accepted.poll(10, TimeUnit.SECONDS);
+            onIoThread(() -> connections.accept(connection, 0, reader));
+            ask(client);
+            assertServed(client);
+            List<Object> conduits = new ArrayList<>(chain(connection.getSourceChannel().getConduit()));
+            conduits.addAll(chain(connection.getSinkChannel().getConduit()));
+            assertEquals(List.of(), conduits.stream().map(Object::getClass).map(Class::getName)
+                    .filter(name -> name.contains("Timeout") || name.contains("RateLimit")).toList());
+            assertTrue(conduits.size() >= 3);
+        }
+    }
+
+    private static List<Object> chain(Object first) throws ReflectiveOperationException {
+        List<Object> chain = new ArrayList<>(List.of(first));
+        for (Class<?> type = first.getClass(); type != null; type = type.getSuperclass()) {
+            for (Field field : type.getDeclaredFields()) {
+                if (field.getName().equals("next")) {
+                    field.setAccessible(true);
+                    chain.addAll(chain(field.get(first)));
+                    return chain;
+                }
+            }
+        }
+        return chain;
+    }
+
     @Test
     public void halfHeadIsClosedUponAtItsLimit() throws Exception {
         try (Socket client = connect()) {
--- a/node/src/test/java/fawnlb/snapshot/RecorderTest.java
+++ b/node/src/test/java/fawnlb/snapshot/RecorderTest.java
@@ -12,6 +12,7 @@
 import fawnlb.discovery.Member;
 import fawnlb.discovery.MemberList;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
@@ -59,6 +60,30 @@
                 new Recorder.Pace(S, 30 * S));
     }
 
+    /** What the platform throws where a folder can't be used any more need not be an I/O error. */
+    @Test
+    public void goesOnAfterAWriteThatThrewWhatNobodyExpects() {
+        SnapshotStore faulty = new SnapshotStore(file) {
+            private int calls;
+
+            @Override
+            public void write(Snapshot snapshot) throws IOException {
+                if (calls++ == 0) {
+                    throw new UncheckedIOException(new IOException("No space left on device"));
+                }
+                super.write(snapshot);
+            }
+        };
+        recorder = new Recorder(new Mailbox(Runnable::run, 100), new Mailbox(disk::add, 1), timers, faulty, new Recorder.Pace(S, 30 * S));
+        recorder.heard(ListKind.FULL, new MemberList(1, true, List.of(new Member("s-00000001", "127.0.0.1", 1, "a", "c", 0, Phase.READY, 1, 0))));
+        pass(2 * S);
+        writes();
+        assertFalse(Files.exists(file));
+        pass(31 * S);
+        writes();
+        assertTrue(folder.getRoot().list().length > 0);
+    }
+
     private void pass(long nanos) {
         long end = now + nanos;
         while (!due.isEmpty() && due.peek().at() <= end) {
