--- a/node/src/main/java/fawnlb/backend/Backend.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -23,9 +23,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import java.util.logging.Logger;
@@ -34,10 +31,6 @@
 /** One backend's actor: its connections and the attempts on them. */
 final class Backend {
     private static final Logger LOG = Logger.getLogger(Backend.class.getName());
-    /** An idle connection is retired at this part of the time after which the backend itself may close it: a
-     *  request written to one that is just being closed would count as a reset. */
-    private static final double RETIRE = 0.85;
-
     /** What is read of an answer that is not passed on, so that its connection can be used again: so many bytes
      *  for so long. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
@@ -69,12 +62,10 @@
     private final BackendPool.Limits limits;
     private final BackendPool pool;
     private final Streams streams;
-    private final Deque<Idle> idle = new ArrayDeque<>();
+    private final IdleConnections idle;
     private boolean left;
     private boolean draining;
 
-    private record Idle(Connection connection, long since) { }
-
     Backend(long id, InetSocketAddress address, long since, Dialect dialect, XnioIoThread thread, Timers timers, Mailbox mailbox,
            BackendPool.Limits limits, BackendPool pool, Streams streams) {
         this.id = id;
@@ -87,6 +78,7 @@
         this.limits = limits;
         this.pool = pool;
         this.streams = streams;
+        this.idle = new IdleConnections(limits.rest(), limits.idle(), timers, pool::socketClosed);
     }
 
     boolean is(InetSocketAddress other, long started, Dialect speaks) {
@@ -105,9 +97,7 @@
         mailbox.tellAlways(() -> {
             left = true;
             streams.gone(id);
-            while (!idle.isEmpty()) {
-                close(idle.poll().connection());
-            }
+            idle.closeAll();
         });
     }
 
@@ -146,50 +136,17 @@
         pool.socketClosed();
     }
 
-    /** The connection that has rested for the shortest time, and long enough; null if there is none. */
-    private Connection idleConnection() {
-        retire();
-        Iterator<Idle> latestFirst = idle.descendingIterator();
-        while (latestFirst.hasNext()) {
-            Idle candidate = latestFirst.next();
-            if (timers.now() - candidate.since() < limits.rest()) {
-                continue;
-            }
-            latestFirst.remove();
-            if (candidate.connection().isUsable()) {
-                return candidate.connection();
-            }
-            pool.socketClosed();
-        }
-        return null;
-    }
-
     private void keep(Connection connection) {
         if (left) {
             close(connection);
             return;
         }
-        idle.addLast(new Idle(connection, timers.now()));
-        timers.after((long) (limits.idle() * RETIRE), () -> mailbox.tellAlways(this::retire));
-    }
-
-    boolean hasIdle() {
-        return !idle.isEmpty();
-    }
-
-    long idleSince() {
-        return idle.peek().since();
-    }
-
-    void closeOldestIdle() {
-        close(idle.poll().connection());
+        idle.add(connection);
+        timers.after(idle.limit(), () -> mailbox.tellAlways(idle::retire));
     }
 
-    private void retire() {
-        while (!idle.isEmpty() && (!idle.peek().connection().isOpen()
-                || timers.now() - idle.peek().since() >= (long) (limits.idle() * RETIRE))) {
-            close(idle.poll().connection());
-        }
+    IdleConnections idle() {
+        return idle;
     }
 
     /** One exchange with the backend, from finding a connection to its end. */
@@ -206,7 +163,7 @@
                 finish(End.NOT_SENT);
                 return;
             }
-            connection = idleConnection();
+            connection = idle.take();
             if (connection != null) {
                 send();
             } else if (pool.socketFree()) {
--- a/node/src/main/java/fawnlb/backend/BackendPool.java
+++ b/node/src/main/java/fawnlb/backend/BackendPool.java
@@ -109,8 +109,8 @@
     /** Whether one more connection may be opened; idle ones to other backends make room. */
     boolean socketFree() {
         if (sockets >= limits.sockets()) {
-            backends.values().stream().filter(Backend::hasIdle).min(Comparator.comparingLong(Backend::idleSince))
-                    .ifPresent(Backend::closeOldestIdle);
+            backends.values().stream().map(Backend::idle).filter(idle -> !idle.isEmpty())
+                    .min(Comparator.comparingLong(IdleConnections::eldestSince)).ifPresent(IdleConnections::closeEldest);
         }
         return sockets < limits.sockets();
     }
