--- a/lab/src/main/java/fawnlb/lab/net/HttpServer.java
+++ b/lab/src/main/java/fawnlb/lab/net/HttpServer.java
@@ -38,7 +38,7 @@
     private final XnioWorker worker;
     private final Handler handler;
     private final Set<Exchange> open = new HashSet<>();
-    private InetSocketAddress address;
+    private final InetSocketAddress address;
     private AcceptingChannel<StreamConnection> server;
     private ServerSocketChannel full;
     private final List<SocketChannel> fillers = new ArrayList<>();
@@ -61,9 +61,8 @@
     public HttpServer(XnioWorker worker, InetSocketAddress address, Handler handler) throws IOException {
         this.worker = worker;
         this.handler = handler;
-        this.address = address;
+        this.address = address.getPort() != 0 ? address : new InetSocketAddress(address.getAddress(), Ports.free());
         listen();
-        this.address = server.getLocalAddress(InetSocketAddress.class);
     }
 
     public InetSocketAddress address() {
--- a/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
+++ b/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
@@ -2,20 +2,17 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import fawnlb.lab.net.Ports;
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.BindException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -31,10 +28,6 @@
     private static final int SYSTEM_TICKS = 12;
     private static final double TICK_SECONDS = 0.01;
 
-    private static final int FIRST_PORT = 15_000;
-    private static final int PORTS = 17_000;
-    private static final int MAX_PORTS_TRIED = 1000;
-
     /** Classes of request: one that may be repeated, and one that may run once alone. */
     public static final String SAFE = "advisor-chat";
     public static final String ONCE = "ledger-entry";
@@ -51,23 +44,7 @@
     public NodeProcess(String name, Path folder) throws IOException {
         this.name = name;
         this.folder = folder;
-        this.address = new InetSocketAddress("127.0.0.1", freePort());
-    }
-
-    /**
-     * A port that is free at the moment, and not one of those that Linux gives to outgoing connections: while a node is down, any of
-     * these would take its address.
-     */
-    public static int freePort() throws IOException {
-        for (int tries = 0; tries < MAX_PORTS_TRIED; tries++) {
-            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
-            try (ServerSocket any = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return any.getLocalPort();
-            } catch (BindException e) {
-                // Somebody has it.
-            }
-        }
-        throw new IOException("no free port from " + FIRST_PORT + " on");
+        this.address = new InetSocketAddress("127.0.0.1", Ports.free());
     }
 
     public String name() {
--- a/lab/src/main/java/fawnlb/lab/scenario/SlowReaders.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/SlowReaders.java
@@ -4,6 +4,7 @@
 import fawnlb.lab.load.Clients;
 import fawnlb.lab.load.Plan;
 import fawnlb.lab.load.Readers;
+import fawnlb.lab.net.Ports;
 import fawnlb.lab.node.NodeProcess;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -98,7 +99,7 @@
             RandomGenerator random = new Well19937c(seed);
             stage.draw(BOXES, random);
             List<Plan.Turn> turns = Plan.draw(random, LOAD * Stage.capacity(stage.boxes, 1), seconds);
-            InetSocketAddress admin = new InetSocketAddress("127.0.0.1", NodeProcess.freePort());
+            InetSocketAddress admin = new InetSocketAddress("127.0.0.1", Ports.free());
             stage.start(1, 0, Map.of("streams", "{\"readers\":{\"most-held-bytes\":" + most + "},\"admin\":{\"listen\":\"127.0.0.1:"
                     + admin.getPort() + "\"}}"));
             NodeProcess node = stage.nodes.get(0);
--- a/lab/src/main/java/fawnlb/lab/scenario/StreamFaults.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/StreamFaults.java
@@ -7,7 +7,7 @@
 import fawnlb.lab.engine.Speech;
 import fawnlb.lab.load.Asker;
 import fawnlb.lab.net.Fault;
-import fawnlb.lab.node.NodeProcess;
+import fawnlb.lab.net.Ports;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -150,8 +150,8 @@
                 for (int i = 0; i < BOXES; i++) {
                     stage.box(kind, messages ? Speech.MESSAGES : Speech.CHAT).spoil(id -> planned.get(id).next());
                 }
-                int front = NodeProcess.freePort();
-                InetSocketAddress admin = new InetSocketAddress("127.0.0.1", NodeProcess.freePort());
+                int front = Ports.free();
+                InetSocketAddress admin = new InetSocketAddress("127.0.0.1", Ports.free());
                 stage.start(1, 0, Map.of("broker", "{\"listen\":\"127.0.0.1:" + front + "\",\"message-kinds\":["
                         + (messages ? "\"slow-rate\"" : "") + "],\"teams\":[{\"name\":\"lab\",\"key\":\"k\",\"classes\":"
                         + "[\"advisor-chat\"],\"models\":[\"advisor\"],\"deadline-ms\":" + DEADLINE_MS + ",\"budget\":{\"requests\":"
