--- a/node/src/main/java/fawnlb/decision/Balancer.java
+++ b/node/src/main/java/fawnlb/decision/Balancer.java
@@ -103,9 +103,9 @@
     sealed interface Event permits Listed, Request, Started, Ended, ClientGone, Probed, PeerMessage, TimerDue { }
 
     /**
-     * What a list event brings: changed entries, the whole list, the list as last held, nothing (a call or subscription failed),
-     * nothing (a call had waited for its turn and was refused), nothing (a call was never answered), or what a view between the list and the module has changed, which
-     * says nothing of whether the list is followed.
+     * What a list event brings: changed entries, the whole list, the list as last held; nothing, since a call or subscription failed,
+     * had waited for its turn and was refused, or was never answered; or what a view between the list and the module has changed,
+     * which says nothing of whether the list is followed.
      */
     enum ListKind {
         DELTA, FULL, CACHED, FAILED, CROWDED, UNANSWERED, VIEW;
