Name a request only where an invariant is violated, and say a held-up process's bound once

Backend.Running.sent and the other checks put a request's name and a message together for each request, though they are needed for a violation alone: Invariant.holds takes the name as a supplier. The 0.15 s for which a process may be held up stood in Flows and in Backend; it is Backends.MAX_HELD_UP now. A local variable left behind in Backend is gone, and two troubles of the soak that differed in one call are one method. No change of behaviour; the message of DEADLINE_TOLD_IN_TIME no longer tells the milliseconds.

--- a/lab/src/main/java/fawnlb/lab/scenario/Soak.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/Soak.java
@@ -169,8 +169,8 @@
             // Who is told by a failed write or read that its connection is gone has lost nothing that the node could give.
             case WRITES_FAIL -> releasedWhile(number, FaultShim.Call.WRITE, FaultShim.Errno.EHOSTUNREACH);
             case READS_FAIL -> releasedWhile(number, FaultShim.Call.READ, FaultShim.Errno.ETIMEDOUT);
-            case SERVER_DIES -> alone(server, s -> dies(s, millis));
-            case SERVER_IS_SILENT -> alone(server, s -> silent(s, millis));
+            case SERVER_DIES -> alone(server, s -> stops(s, EngineServer::die, millis));
+            case SERVER_IS_SILENT -> alone(server, s -> stops(s, EngineServer::vanish, millis));
             case SERVER_DRAINS -> alone(server, s -> replaced(s, millis));
             case SERVER_IS_SLOW -> slow(server, millis);
             case ANSWERS_ARE_SPOILT -> spoilt(server, which, millis);
@@ -267,17 +267,9 @@
         Stage.on(stage.fleet, () -> server.slow(1));
     }
 
-    private void dies(EngineServer server, int millis) throws Exception {
-        Stage.on(stage.fleet, server::die);
-        TimeUnit.MILLISECONDS.sleep(millis);
-        Stage.on(stage.fleet, () -> {
-            server.restart();
-            stage.roster.change(member(server, Phase.READY));
-        });
-    }
-
-    private void silent(EngineServer server, int millis) throws Exception {
-        Stage.on(stage.fleet, server::vanish);
+    /** It dies or falls silent, and starts anew after a while. */
+    private void stops(EngineServer server, Work<EngineServer> how, int millis) throws Exception {
+        Stage.on(stage.fleet, () -> how.on(server));
         TimeUnit.MILLISECONDS.sleep(millis);
         Stage.on(stage.fleet, () -> {
             server.restart();
--- a/node/src/main/java/fawnlb/backend/Backend.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -39,9 +39,6 @@
     /** An answer that is not streamed is kept until it is whole, and may be so long. */
     private static final int MAX_WHOLE_BYTES = 1 << 20;
 
-    /** A process may be held up for so long between its look at the clock and the write, in nanoseconds. */
-    private static final long MAX_HELD_UP = 150_000_000;
-
     /** A connect that fails for want of something on this machine is tried again so often, after so many nanoseconds. */
     private static final int MAX_LOCAL_FAILURES = 4;
     private static final long LOCAL_FAILURE_PAUSE = 50_000_000;
@@ -202,8 +199,7 @@
         }
 
         private void send() {
-            Connection used = connection;
-            used.send(this, request());
+            connection.send(this, request());
             sent();
         }
 
@@ -543,11 +539,13 @@
 
         @Override
         void sent() {
-            long now = timers.now();
-            String request = "request " + parcel.id() + " at " + address;
-            Invariant.NOT_SENT_TO_LEAVING_BACKEND.holds(!left && !draining, request, left ? "it had left" : "it drains");
-            Invariant.DEADLINE_TOLD_IN_TIME.holds(now - Math.min(until, sendBy) < MAX_HELD_UP, request,
-                    "written " + (now - until) / 1_000_000 + " ms after its time");
+            Invariant.NOT_SENT_TO_LEAVING_BACKEND.holds(!left && !draining, this::name, left ? "it had left" : "it drains");
+            Invariant.DEADLINE_TOLD_IN_TIME.holds(timers.now() - Math.min(until, sendBy) < Backends.MAX_HELD_UP, this::name,
+                    "written after its time");
+        }
+
+        private String name() {
+            return "request " + parcel.id() + " at " + address;
         }
 
         @Override
--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -114,7 +114,7 @@
         } catch (RuntimeException e) {
             LOG.log(Level.SEVERE, "a failure could not be answered", e);
         }
-        Invariant.ANSWERED_BEFORE_CLOSE.holds(done || exchange.isResponseStarted(), requestId(), "it could not be answered");
+        Invariant.ANSWERED_BEFORE_CLOSE.holds(done || exchange.isResponseStarted(), this::requestId, "it could not be answered");
         try {
             left();
         } finally {
@@ -128,7 +128,7 @@
 
     /** An answer for a request that is over: of no use where its client has left, and a fault where it had one. */
     private void tooLate(String what) {
-        Invariant.ONE_FINAL_ANSWER.holds(endedAs == Replies.End.GONE, requestId(), what + " after it was " + endedAs);
+        Invariant.ONE_FINAL_ANSWER.holds(endedAs == Replies.End.GONE, this::requestId, what + " after it was " + endedAs);
     }
 
     private void callOff() {
--- a/node/src/main/java/fawnlb/client/Connections.java
+++ b/node/src/main/java/fawnlb/client/Connections.java
@@ -293,7 +293,7 @@
             return false;
         }
         Activity last = activity(connection);
-        Invariant.ANSWERED_BEFORE_CLOSE.holds(last == null || !last.is(Phase.SERVING), connection.toString(), "closed for " + reason);
+        Invariant.ANSWERED_BEFORE_CLOSE.holds(last == null || !last.is(Phase.SERVING), connection::toString, "closed for " + reason);
         closed(connection);
         Metrics.count(Metric.CLIENT_CONNECTIONS_CLOSED, reason);
         IoUtils.safeClose(connection);
--- a/node/src/main/java/fawnlb/flow/Backends.java
+++ b/node/src/main/java/fawnlb/flow/Backends.java
@@ -7,6 +7,9 @@
 
 /** The backends as the core sees them. */
 public interface Backends {
+    /** A process may be held up for so long between its look at the clock and the write, in nanoseconds. */
+    long MAX_HELD_UP = 150_000_000;
+
     /**
      * Starts an attempt. The report hears of it once or twice: perhaps its start, and always its end. A backend that drains or
      * has left by the time at which its connection is up is sent nothing.
--- a/node/src/main/java/fawnlb/flow/Flows.java
+++ b/node/src/main/java/fawnlb/flow/Flows.java
@@ -27,8 +27,6 @@
     private static final long DEFAULT_RETRY_AFTER = 1_000_000_000;
     private static final long NEVER = Long.MAX_VALUE;
     private static final long MILLISECOND = 1_000_000;
-    /** A process may be held up for so long between its look at the clock and the write. */
-    static final long HELD_UP = 150_000_000;
 
     /**
      * A planned end answers by then what has not begun to be answered, in nanoseconds: the operators kill the process 3.7 s after
@@ -266,7 +264,7 @@
             return;
         }
         boolean mayHaveRun = flow.out != null || flow.ranFrom != NEVER;
-        if (Invariant.REPEATED_AS_EFFECT_ALLOWS.holds(type(flow).refusable(mayHaveRun), name(flow), "refused after it may have run")) {
+        if (Invariant.REPEATED_AS_EFFECT_ALLOWS.holds(type(flow).refusable(mayHaveRun), () -> name(flow), "refused after it may have run")) {
             finish(flow, () -> flow.client.refused(flow.last, retryAfter(retryAfter)));
         } else {
             finish(flow, () -> flow.client.failed(flow.last));
@@ -281,7 +279,7 @@
         Flow flow = flows.get(send.request());
         // Never an attempt for a flow that is over, a second one beside another, or one more than allowed.
         if (flow == null || flow.over || flow.out != null || flow.attempts >= settings.limits().attempts()) {
-            Invariant.ONE_ATTEMPT_AT_A_TIME.holds(flow == null || flow.over || flow.out == null, flow == null ? "" : name(flow),
+            Invariant.ONE_ATTEMPT_AT_A_TIME.holds(flow == null || flow.over || flow.out == null, () -> name(flow),
                     "another attempt was asked for while one is out");
             int number = flow == null ? 0 : flow.attempts++;
             boolean over = flow == null || flow.over;
@@ -347,7 +345,7 @@
     /** A connect takes its time: a repeat that was decided within the window of a keyed class may be sent behind it. */
     private long sendBy(Flow flow) {
         Balancer.RequestClass type = type(flow);
-        return type.effect() == Balancer.Effect.SAFE || flow.ranFrom == NEVER ? NEVER : flow.ranFrom + type.window() - HELD_UP;
+        return type.effect() == Balancer.Effect.SAFE || flow.ranFrom == NEVER ? NEVER : flow.ranFrom + type.window() - Backends.MAX_HELD_UP;
     }
 
     // ---- What becomes of attempts ---------------------------------------------------------------------
--- a/node/src/main/java/fawnlb/metrics/Invariant.java
+++ b/node/src/main/java/fawnlb/metrics/Invariant.java
@@ -2,6 +2,7 @@
 
 import fawnlb.metrics.Metrics.Metric;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /**
@@ -44,10 +45,10 @@
         }
     }
 
-    /** Whether the condition holds; counts a violation if it does not. */
-    public boolean holds(boolean condition, String request, String how) {
+    /** Whether the condition holds; counts a violation if it does not, and only then asks for the request's name. */
+    public boolean holds(boolean condition, Supplier<String> request, String how) {
         if (!condition) {
-            violated(request, how);
+            violated(request.get(), how);
         }
         return condition;
     }
--- a/node/src/test/java/fawnlb/flow/FlowsTest.java
+++ b/node/src/test/java/fawnlb/flow/FlowsTest.java
@@ -386,7 +386,7 @@
         reports.get(1).ended(Ending.of(End.BROKEN), 0, List.of());
         module.act(new Send(1, 8, 0));
         assertEquals("counted from the first that may have run, less what the process may be held up for",
-                List.of(Long.MAX_VALUE, Long.MAX_VALUE, ran + 50 * MS - Flows.HELD_UP), sendBys);
+                List.of(Long.MAX_VALUE, Long.MAX_VALUE, ran + 50 * MS - Backends.MAX_HELD_UP), sendBys);
     }
 
     @Test
