--- a/review/1/LongPrompts.java
+++ b/review/1/LongPrompts.java
@@ -41,7 +41,7 @@
         int port = Kit.freePort();
         int messagesPort = Kit.freePort();
         Path file = Kit.writeFile("config.json", Kit.configuration(port, discovery.port, Kit.settings()));
-        Path teams = Kit.writeFile("messages.json", teams(messagesPort));
+        Path teams = Kit.writeFile("messages.json", Kit.teams(messagesPort, 150_000_000));
         Process node = Kit.startNode(file, " --broker '" + teams + "'", "node.log");
         Kit.awaitReady(node, port);
 
@@ -111,10 +111,4 @@
         byte[] bytes = (question + LARGE_BLUE_SQUARE.repeat(symbols)).getBytes(StandardCharsets.UTF_8);
         return new String(bytes, StandardCharsets.ISO_8859_1);
     }
-
-    private static String teams(int port) {
-        return "{\"listen\":\"127.0.0.1:" + port + "\",\"message-kinds\":[],\"teams\":[{\"name\":\"map-service\","
-                + "\"key\":\"map-key\",\"classes\":[\"advisor-chat\"],\"models\":[\"advisor\"],\"deadline-ms\":7500,"
-                + "\"budget\":{\"requests\":600,\"tokens\":150000000,\"window-ms\":60000}}]}";
-    }
 }
--- a/review/common/Kit.java
+++ b/review/common/Kit.java
@@ -202,13 +202,14 @@
         values.put("members", "");
         values.put("revision", "0");
         values.put("registryMode", "\"subscribe\"");
+        values.put("sockets", "1024");
         return values;
     }
 
     static String configuration(int listenPort, int discoveryPort, Map<String, String> values) {
         return """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
-                 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":%s},
                  "known":{"revision":%s,"complete":true,"members":[%s]},
                  "settings":{"az":0,"my-number":0,"replicas-of-me":1,"tier":0,"stages":["advisor-pool"],
                   "family":"llm","family-info":{"aim-us-per-1000-prompt-tokens":[60000.0],"resume":false,
@@ -228,6 +229,7 @@
                 .formatted(
                         listenPort,
                         discoveryPort,
+                        values.get("sockets"),
                         values.get("revision"),
                         values.get("members"),
                         values.get("registryMode"),
@@ -236,6 +238,13 @@
                         values.get("deadlineNs"));
     }
 
+    /** The file of the messages front: one team, with this budget of tokens a minute. */
+    static String teams(int port, long tokens) {
+        return "{\"listen\":\"127.0.0.1:" + port + "\",\"message-kinds\":[],\"teams\":[{\"name\":\"map-service\","
+                + "\"key\":\"map-key\",\"classes\":[\"advisor-chat\"],\"models\":[\"advisor\"],\"deadline-ms\":7500,"
+                + "\"budget\":{\"requests\":600,\"tokens\":" + tokens + ",\"window-ms\":60000}}]}";
+    }
+
     /** Replaces a file as an operator would: the new one is complete when it takes the name. */
     static Path writeFile(String name, String text) throws IOException {
         Path file = temporary.resolve(name);
