--- a/review/common/Discovery.java
+++ b/review/common/Discovery.java
@@ -10,7 +10,10 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** A stand-in for discovery: the whole list first, then each change, and an empty line every 2 s. */
+/**
+ * A stand-in for discovery: what changed after the revision asked for or the whole list, then
+ * each change, and an empty line every 2 s.
+ */
 final class Discovery {
     final int port;
     private final ServerSocket server;
@@ -76,7 +79,8 @@
         Watch watch = new Watch(socket);
         synchronized (this) {
             Kit.write(watch.out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
-            watch.send(list(members, true) + "\n");
+            boolean isUpToDate = line.contains("from=" + revision + " ");
+            watch.send((isUpToDate ? list(Map.of(), false) : list(members, true)) + "\n");
             watches.add(watch);
         }
         while (in.read() >= 0) {
--- a/review/common/Engine.java
+++ b/review/common/Engine.java
@@ -23,6 +23,8 @@
 
     final String id;
     final int port;
+    /** The zone in which discovery lists it; set before it is listed. */
+    String zone = "regina-east";
     final List<Attempt> attempts = new CopyOnWriteArrayList<>();
     volatile Behaviour behaviour = (attempt, out) -> streamAnswer(out, attempt.id(), 5, 50);
     private final ServerSocket server;
@@ -124,7 +126,7 @@
 
     /** The engine's entry in the list of discovery. */
     String member(String phase) {
-        return "{\"id\":\"" + id + "\",\"host_port\":\"127.0.0.1:" + port + "\",\"locality\":\"regina-east\","
+        return "{\"id\":\"" + id + "\",\"host_port\":\"127.0.0.1:" + port + "\",\"locality\":\"" + zone + "\","
                 + "\"flavor\":\"full-rate\",\"cell\":0,\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":0}";
     }
 }
--- a/review/common/Kit.java
+++ b/review/common/Kit.java
@@ -203,6 +203,8 @@
         values.put("revision", "0");
         values.put("registryMode", "\"subscribe\"");
         values.put("sockets", "1024");
+        values.put("group", "\"all\"");
+        values.put("localities", "\"regina-east\",\"saskatoon-north\"");
         return values;
     }
 
@@ -214,13 +216,13 @@
                  "settings":{"az":0,"my-number":0,"replicas-of-me":1,"tier":0,"stages":["advisor-pool"],
                   "family":"llm","family-info":{"aim-us-per-1000-prompt-tokens":[60000.0],"resume":false,
                    "token-aim-ns":[50000000]},
-                  "host-types":["full-rate","slow-rate"],"localities":["regina-east","saskatoon-north"],
+                  "host-types":["full-rate","slow-rate"],"localities":[%s],
                   "registry-mode":%s,"tick-ns":5000000,"weight-source":"none","worth-by":"work",
                   "costs":{"cross-zone":0.03,"waste":0.018,"probe":0.002,"handshake":0.02,"late-fail":0.066},
                   "limits":{"most-tries":%s,"most-held":2000,"may-cancel":true,"second-copies":false,"multiplex":1,
                    "probing":true,"peers":false,"retry-after":true,"max-retry-after-ns":2000000000,
                    "connect-timeout-ns":250000000,"conn-idle-ns":15000000000},
-                  "profiles":[{"name":"advisor-chat","effect":%s,"group":"all","window-ns":5000000000,
+                  "profiles":[{"name":"advisor-chat","effect":%s,"group":%s,"window-ns":5000000000,
                    "on-time-ns":1500000000,"deadline-ns":%s,"late-worth":0.25,"credit":1.0,"stream":true}],
                   "report":{"how":"probe","fields":["waiting"]},
                   "rules":{"answer-slack-ns":20000000,"ask-within-ns":10000000000,"cold-from":0.36,
@@ -232,9 +234,11 @@
                         values.get("sockets"),
                         values.get("revision"),
                         values.get("members"),
+                        values.get("localities"),
                         values.get("registryMode"),
                         values.get("mostTries"),
                         values.get("effect"),
+                        values.get("group"),
                         values.get("deadlineNs"));
     }
 
