--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../common/run.sh" "$(dirname "$0")" UnusableConfiguration
+exec "$(dirname "$0")/../common/run.sh" "$(dirname "$0")" HungEngine
