--- a/review/common/Kit.java
+++ b/review/common/Kit.java
@@ -145,7 +145,12 @@
 
     static void signal(Process process, String name) throws IOException, InterruptedException {
         record("SIG%s to pid %d", name, process.pid());
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+    }
+
+    /** Whether the node's log holds this text. */
+    static boolean hasLogged(String logName, String text) throws IOException {
+        return Files.readString(temporary.resolve(logName), StandardCharsets.ISO_8859_1).contains(text);
     }
 
     static void copyLog(String logName) throws IOException {
