Keep keyed requests in their zone where zones have spaces in their names or no setting

Cause: config.JsonFlattener.readScalar made underscores of the spaces and commas of all texts in JSON files, discovery's list stayed as it was, and server.EndpointPublisher.toEndpoint took Math.max(0, indexOf(zone)): each zone whose name was not found became zone 0, and policy.IdempotencyRules.sharesKeys saw a single zone.

Ruled out: that the underscores alone are at fault. The default of an unknown name is the fault; nothing in the log told of it.

Why this fix works: JSON texts are kept as written (SettingValue, which keeps lists as lists, so that an item may hold a comma); names are compared as written and then in the simulator's form, if that fits one name alone (NameMatcher); a zone or kind without a setting gets a number of its own and one warning (NameNumbers), so that two names of discovery can't share a number. What is not known shares keys with no other backend. Same cause on related paths: `gone` entries without a zone, entries without a cell, kinds, message-kinds, teams' keys, classes and models, paths with spaces.

--- a/node/src/main/java/fawnlb/config/ConfigurationFile.java
+++ b/node/src/main/java/fawnlb/config/ConfigurationFile.java
@@ -20,10 +20,10 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Path file;
-    private final Map<String, String> values;
+    private final Map<String, SettingValue> values;
     private final Set<String> unreadSettings;
 
-    private ConfigurationFile(Path file, Map<String, String> values) {
+    private ConfigurationFile(Path file, Map<String, SettingValue> values) {
         this.file = file;
         this.values = values;
         this.unreadSettings = new TreeSet<>(values.keySet());
@@ -35,7 +35,7 @@
      * @throws ConfigurationException if the file cannot be read, or holds no JSON object
      */
     static ConfigurationFile read(Path file) throws ConfigurationException {
-        Map<String, String> values = new HashMap<>();
+        Map<String, SettingValue> values = new HashMap<>();
         try (JsonParser parser = openObject(file)) {
             JsonFlattener.flatten(parser, "", values);
         } catch (IOException e) {
@@ -66,8 +66,8 @@
 
     /** The value of a setting, null if there is none. */
     String optionalText(String path) {
-        unreadSettings.remove(path);
-        return values.get(path);
+        SettingValue value = take(path);
+        return value == null ? null : value.text();
     }
 
     /** The value of a setting that must be there and not be empty. */
@@ -81,8 +81,14 @@
 
     /** The values of a list, none if it is not there. */
     List<String> readList(String path) {
-        String text = optionalText(path);
-        return text == null || text.isEmpty() ? List.of() : List.of(text.split(","));
+        SettingValue value = take(path);
+        return value == null ? List.of() : value.items();
+    }
+
+    /** Returns a value, null if there is none, and notes that it has been read. */
+    private SettingValue take(String path) {
+        unreadSettings.remove(path);
+        return values.get(path);
     }
 
     /** A whole number that must be there. */
--- a/node/src/main/java/fawnlb/config/JsonFlattener.java
+++ b/node/src/main/java/fawnlb/config/JsonFlattener.java
@@ -9,9 +9,9 @@
 
 /**
  * Flattens nested JSON to paths with values, the form in which the simulator gives its settings: {@code {"a":{"b":1}}}
- * becomes {@code a.b} with the value {@code 1}. The plain values of a list are joined with commas. A list of objects
- * has its length under {@code .count} and its items under {@code .0}, {@code .1} and so on. Nulls are left out. Spaces
- * and commas within a text become underscores.
+ * becomes {@code a.b} with the value {@code 1}. A list of plain values is one value with several items. A list of
+ * objects has its length under {@code .count} and its items under {@code .0}, {@code .1} and so on. Nulls are left out.
+ * Texts stay as they are written.
  */
 final class JsonFlattener {
     private JsonFlattener() {}
@@ -23,7 +23,7 @@
      * @param settings receives the paths and values
      * @throws IOException if the text is not JSON
      */
-    static void flatten(JsonParser parser, String path, Map<String, String> settings) throws IOException {
+    static void flatten(JsonParser parser, String path, Map<String, SettingValue> settings) throws IOException {
         switch (parser.currentToken()) {
             case START_OBJECT -> {
                 while (parser.nextToken() == JsonToken.FIELD_NAME) {
@@ -34,29 +34,25 @@
             }
             case START_ARRAY -> flattenArray(parser, path, settings);
             case VALUE_NULL -> {}
-            default -> settings.put(path, readScalar(parser));
+            default -> settings.put(path, SettingValue.ofText(parser.getText()));
         }
     }
 
-    private static void flattenArray(JsonParser parser, String path, Map<String, String> settings) throws IOException {
+    private static void flattenArray(JsonParser parser, String path, Map<String, SettingValue> settings)
+            throws IOException {
         List<String> values = new ArrayList<>();
         int objectCount = 0;
         while (parser.nextToken() != JsonToken.END_ARRAY) {
             if (parser.currentToken().isStructStart()) {
                 flatten(parser, path + '.' + objectCount++, settings);
             } else {
-                values.add(readScalar(parser));
+                values.add(parser.getText());
             }
         }
         if (objectCount > 0) {
-            settings.put(path + ".count", Integer.toString(objectCount));
+            settings.put(path + ".count", SettingValue.ofText(Integer.toString(objectCount)));
         } else {
-            settings.put(path, String.join(",", values));
+            settings.put(path, SettingValue.ofItems(values));
         }
     }
-
-    private static String readScalar(JsonParser parser) throws IOException {
-        String text = parser.getText();
-        return parser.currentToken() == JsonToken.VALUE_STRING ? text.replaceAll("[ ,]", "_") : text;
-    }
 }
--- a/node/src/main/java/fawnlb/config/ServerConfiguration.java
+++ b/node/src/main/java/fawnlb/config/ServerConfiguration.java
@@ -48,29 +48,32 @@
      */
     public static ServerConfiguration read(Path file, Map<String, String> environment) throws ConfigurationException {
         FileContent content = readContent(file);
-        Map<String, String> values = content.values();
+        Map<String, SettingValue> values = content.values();
         SettingsParser parser = new SettingsParser(values);
+        SettingsReader server = new SettingsReader(values);
         LoadBalancerSettings settings = parser.parse();
         if (settings.requestClasses().isEmpty()) {
             throw new ConfigurationException(file, null, "settings name no request class");
         }
         return new ServerConfiguration(
-                environment.getOrDefault(NAME_VARIABLE, values.getOrDefault("node.name", "node")),
-                AddressParser.parse("listen", environment.getOrDefault(LISTEN_VARIABLE, values.get("node.listen"))),
+                environment.getOrDefault(NAME_VARIABLE, server.readText("node.name", "node")),
                 AddressParser.parse(
-                        "discovery", environment.getOrDefault(DISCOVERY_VARIABLE, values.get("node.discovery"))),
-                parseSeed(values.getOrDefault("node.seed", "0")),
-                parseMaxDescriptors(values.getOrDefault("node.limits.sockets", "1024")),
+                        "listen", environment.getOrDefault(LISTEN_VARIABLE, server.readText("node.listen", null))),
+                AddressParser.parse(
+                        "discovery",
+                        environment.getOrDefault(DISCOVERY_VARIABLE, server.readText("node.discovery", null))),
+                parseSeed(server.readText("node.seed", "0")),
+                parseMaxDescriptors(server.readText("node.limits.sockets", "1024")),
                 content.initialEndpoints(),
                 settings,
                 parser.warnings());
     }
 
     /** The settings of the file under {@code node.} and those of its load balancer, and its endpoint list. */
-    private record FileContent(Map<String, String> values, EndpointList initialEndpoints) {}
+    private record FileContent(Map<String, SettingValue> values, EndpointList initialEndpoints) {}
 
     private static FileContent readContent(Path file) throws ConfigurationException {
-        Map<String, String> values = new HashMap<>();
+        Map<String, SettingValue> values = new HashMap<>();
         EndpointList initialEndpoints = null;
         try (JsonParser json = ConfigurationFile.openObject(file)) {
             while (json.nextToken() == JsonToken.FIELD_NAME) {
--- a/node/src/main/java/fawnlb/config/SettingsParser.java
+++ b/node/src/main/java/fawnlb/config/SettingsParser.java
@@ -42,7 +42,7 @@
     private final SettingsReader reader;
 
     /** Creates a parser of settings that are given by their paths. */
-    public SettingsParser(Map<String, String> values) {
+    SettingsParser(Map<String, SettingValue> values) {
         this.reader = new SettingsReader(values);
     }
 
@@ -51,13 +51,14 @@
         this(splitLines(lines));
     }
 
-    private static Map<String, String> splitLines(String lines) {
-        Map<String, String> values = new HashMap<>();
+    private static Map<String, SettingValue> splitLines(String lines) {
+        Map<String, SettingValue> values = new HashMap<>();
         for (String line : lines.split("\n")) {
             int separator = line.indexOf('=');
             if (separator > 0) {
                 String path = line.substring(0, separator).trim();
-                values.put(path, line.substring(separator + 1).trim());
+                String text = line.substring(separator + 1).trim();
+                values.put(path, SettingValue.ofCommaSeparated(text));
             }
         }
         return values;
--- a/node/src/main/java/fawnlb/config/SettingsReader.java
+++ b/node/src/main/java/fawnlb/config/SettingsReader.java
@@ -10,10 +10,10 @@
  * with a warning. It is used by one thread.
  */
 final class SettingsReader {
-    private final Map<String, String> values;
+    private final Map<String, SettingValue> values;
     private final List<String> warnings = new ArrayList<>();
 
-    SettingsReader(Map<String, String> values) {
+    SettingsReader(Map<String, SettingValue> values) {
         this.values = Map.copyOf(values);
     }
 
@@ -23,13 +23,14 @@
     }
 
     String readText(String path, String defaultValue) {
-        return values.getOrDefault(path, defaultValue);
+        SettingValue value = values.get(path);
+        return value == null ? defaultValue : value.text();
     }
 
-    /** The values of a list that are separated by commas, none if it is missing. */
+    /** The items of a list, none if it is missing. */
     List<String> readList(String path) {
-        String text = readText(path, "");
-        return text.isEmpty() ? List.of() : List.of(text.split(","));
+        SettingValue value = values.get(path);
+        return value == null ? List.of() : value.items();
     }
 
     /** A whole number of 0 or more; one that is too large counts as the largest. */
@@ -71,8 +72,8 @@
 
     /** Parses a value. The parser returns null for a text that it cannot read. */
     private <T> T readOrDefault(String path, T defaultValue, Function<String, T> parser) {
-        String text = values.get(path);
-        if (text == null || text.isEmpty()) {
+        String text = readText(path, "");
+        if (text.isEmpty()) {
             return defaultValue;
         }
         T value = parser.apply(text);
--- a/node/src/main/java/fawnlb/decision/Endpoint.java
+++ b/node/src/main/java/fawnlb/decision/Endpoint.java
@@ -6,14 +6,18 @@
  * @param id identifies the endpoint, also after a restart
  * @param startedAt when it last started, on the host's clock; 0 if long ago
  * @param size its size as listed; no decision depends on it
- * @param zone the number of its zone, see {@link LoadBalancerSettings.Names#zones}
- * @param cell the number of its cell within the zone
- * @param kind the number of its kind of hardware, see {@link LoadBalancerSettings.Names#kinds}
+ * @param zone the number of its zone, see {@link LoadBalancerSettings.Names#zones}; a zone that the settings don't name
+ *     has a number of its own above these, and {@link #UNKNOWN} is none that another endpoint has
+ * @param cell the number of its cell within the zone; {@link #UNKNOWN} is none that another endpoint has
+ * @param kind the number of its kind of hardware, see {@link LoadBalancerSettings.Names#kinds}; one that the settings
+ *     don't name has a number of its own above these, and {@link #UNKNOWN} stands for any other
  * @param capacity how many requests of this instance may await their first token there at a time, or
  *     {@link #UNLIMITED_CAPACITY}
  */
 public record Endpoint(
         long id, EndpointPhase phase, long startedAt, double size, int zone, int cell, int kind, int capacity) {
+    /** The zone, cell or kind of an endpoint of which it is not known. */
+    public static final int UNKNOWN = -1;
     /** The capacity of an endpoint that nothing limits. */
     public static final int UNLIMITED_CAPACITY = Integer.MAX_VALUE;
 
--- a/node/src/main/java/fawnlb/decision/LoadBalancerSettings.java
+++ b/node/src/main/java/fawnlb/decision/LoadBalancerSettings.java
@@ -179,8 +179,32 @@
      */
     public record Costs(double crossZone, double wastedWork) {}
 
-    /** The names behind the numbers of classes, tenants, zones and kinds; empty where the host knows numbers only. */
-    public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds) {}
+    /**
+     * The names behind the numbers of classes, tenants, zones and kinds; empty where the host knows numbers only. A
+     * name is found as it is written, or else with underscores in place of spaces and commas if that fits one name
+     * alone.
+     */
+    public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds) {
+        /** Returns the number of a class, or -1 if the settings don't name it. */
+        public int classIndex(String name) {
+            return NameMatcher.indexOf(classes, name);
+        }
+
+        /** Returns the number of a tenant, or -1 if the settings don't name it. */
+        public int tenantIndex(String name) {
+            return NameMatcher.indexOf(tenants, name);
+        }
+
+        /** Returns the number of a zone, or -1 if the settings don't name it. */
+        public int zoneIndex(String name) {
+            return NameMatcher.indexOf(zones, name);
+        }
+
+        /** Returns the number of a kind, or -1 if the settings don't name it. */
+        public int kindIndex(String name) {
+            return NameMatcher.indexOf(kinds, name);
+        }
+    }
 
     /**
      * Timeouts of connections to endpoints.
--- a/node/src/main/java/fawnlb/discovery/DiscoveredEndpoint.java
+++ b/node/src/main/java/fawnlb/discovery/DiscoveredEndpoint.java
@@ -7,8 +7,10 @@
  *
  * @param id discovery's name for it
  * @param host a numeric address, an IPv6 one in brackets; empty for an endpoint that is gone
+ * @param zone the name of its zone, empty if it is not known
  * @param kind what serves there; it decides which API is spoken
- * @param cell the group within the zone whose endpoints share their record of idempotency keys
+ * @param cell the group within the zone whose endpoints share their record of idempotency keys, or
+ *     {@link fawnlb.decision.Endpoint#UNKNOWN}
  * @param size its capacity relative to others
  * @param upSinceMillis when it last started, in milliseconds on discovery's clock; 0 if long ago
  */
--- a/node/src/main/java/fawnlb/discovery/EndpointListCodec.java
+++ b/node/src/main/java/fawnlb/discovery/EndpointListCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import fawnlb.decision.Endpoint;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.EndpointListFormatException.Reason;
 import java.io.IOException;
@@ -126,7 +127,7 @@
         private String address = "";
         private String zone = "";
         private String kind = "";
-        private int cell;
+        private int cell = Endpoint.UNKNOWN;
         private EndpointPhase phase = EndpointPhase.DRAINING;
         private double size = 1;
         private long upSinceMillis;
--- a/node/src/main/java/fawnlb/messages/BrokerRequestReader.java
+++ b/node/src/main/java/fawnlb/messages/BrokerRequestReader.java
@@ -74,10 +74,17 @@
         return new BrokerRequest(completion, incomingRequest(exchange, contract, record, completion, outbound));
     }
 
-    /** Returns the class that the request names, or its team's default. */
-    private static String requestClass(HttpServerExchange exchange, Contract contract) {
+    /** Returns the class that the request names, as its team's contract spells it, or the contract's default. */
+    private String requestClass(HttpServerExchange exchange, Contract contract) {
         String requestClass = exchange.getRequestHeaders().getFirst(CLASS);
-        return requestClass == null ? contract.classes().get(0) : requestClass;
+        if (requestClass == null) {
+            return contract.classes().get(0);
+        }
+        int index = classIndex(requestClass);
+        return contract.classes().stream()
+                .filter(allowed -> index >= 0 && classIndex(allowed) == index)
+                .findFirst()
+                .orElse(requestClass);
     }
 
     /** Rejects a class that the contract allows and the settings don't have; other classes violate the contract. */
@@ -88,7 +95,7 @@
     }
 
     private int classIndex(String requestClass) {
-        return settings.names().classes().indexOf(requestClass);
+        return settings.names().classIndex(requestClass);
     }
 
     /** Returns the request as it is sent to backends, in the client's dialect and in the other one. */
@@ -123,7 +130,7 @@
         String sessionKey = exchange.getRequestHeaders().getFirst(SESSION_KEY);
         return new IncomingRequest(
                 classIndex(record.requestClass()),
-                settings.names().tenants().indexOf(contract.tenant()),
+                settings.names().tenantIndex(contract.tenant()),
                 AffinityKeys.parse(sessionKey != null ? sessionKey : completion.user()),
                 AffinityKeys.parse(completion.system()),
                 timeoutNanos(exchange, contract),
--- a/node/src/main/java/fawnlb/platform/RequestHeaderParser.java
+++ b/node/src/main/java/fawnlb/platform/RequestHeaderParser.java
@@ -31,7 +31,7 @@
         Map<String, String> extras = ExtrasHeader.parse(headers.find(ExtrasHeader.NAME));
         return new IncomingRequest(
                 requestClass,
-                settings.names().tenants().indexOf(normalizeName(headers.find("X-Tenant"))),
+                settings.names().tenantIndex(nameIn(headers, "X-Tenant")),
                 AffinityKeys.parse(headers.find("X-Key")),
                 AffinityKeys.parse(extras.get("prefix")),
                 clientTimeoutNanos,
@@ -43,7 +43,7 @@
     }
 
     private int parseRequestClass(HeaderLookup headers) throws InvalidRequestException {
-        int requestClass = settings.names().classes().indexOf(normalizeName(headers.find("X-Class")));
+        int requestClass = settings.names().classIndex(nameIn(headers, "X-Class"));
         if (requestClass < 0) {
             throw badRequest("X-Class", "X-Class names no class of this deployment");
         }
@@ -57,9 +57,9 @@
                 : NANOS_PER_MILLISECOND * parseNumber("X-Deadline-Ms", deadlineMillis);
     }
 
-    /** Names in the settings file have underscores in place of spaces and commas. */
-    private static String normalizeName(String text) {
-        return text == null ? "" : text.trim().replaceAll("[ ,]", "_");
+    private static String nameIn(HeaderLookup headers, String header) throws InvalidRequestException {
+        String text = headers.find(header);
+        return text == null ? "" : text.trim();
     }
 
     private static double parseTokenCount(Map<String, String> extras, String name) throws InvalidRequestException {
--- a/node/src/main/java/fawnlb/policy/EndpointTable.java
+++ b/node/src/main/java/fawnlb/policy/EndpointTable.java
@@ -67,11 +67,14 @@
         }
     }
 
+    /** An entry that removes an endpoint need not name its zone and cell, and its attempts may still be running. */
     private static void copy(Endpoint listed, EndpointState endpoint) {
         endpoint.phase = listed.phase();
-        endpoint.zone = listed.zone();
-        endpoint.cell = listed.cell();
-        endpoint.capacity = listed.capacity();
+        if (!endpoint.isGone()) {
+            endpoint.zone = listed.zone();
+            endpoint.cell = listed.cell();
+            endpoint.capacity = listed.capacity();
+        }
     }
 
     private static boolean isComplete(EndpointUpdateKind kind) {
--- a/node/src/main/java/fawnlb/policy/IdempotencyRules.java
+++ b/node/src/main/java/fawnlb/policy/IdempotencyRules.java
@@ -1,5 +1,6 @@
 package fawnlb.policy;
 
+import fawnlb.decision.Endpoint;
 import fawnlb.decision.Idempotency;
 import fawnlb.decision.LoadBalancerSettings.RequestClass;
 
@@ -28,13 +29,21 @@
 
     /** Whether two endpoints drop repeats of each other's requests. */
     private static boolean sharesKeys(EndpointState first, EndpointState other, RequestClass requestClass) {
+        if (first == other) {
+            return true;
+        }
         return switch (requestClass.idempotencyScope()) {
             case ALL -> true;
-            case ZONE -> first.zone == other.zone;
-            case CELL -> first.zone == other.zone && first.cell == other.cell;
+            case ZONE -> isSameGroup(first.zone, other.zone);
+            case CELL -> isSameGroup(first.zone, other.zone) && isSameGroup(first.cell, other.cell);
         };
     }
 
+    /** An endpoint whose zone or cell is not known shares it with no other. */
+    private static boolean isSameGroup(int first, int other) {
+        return first == other && first != Endpoint.UNKNOWN;
+    }
+
     /** Whether the request may be rejected, which tells its client that it may send it again. */
     static boolean mayReject(ActiveRequest request) {
         return request.requestClass.isRejectable(request.firstThatMayHaveRun() != null);
--- a/node/src/main/java/fawnlb/policy/OutlierDetector.java
+++ b/node/src/main/java/fawnlb/policy/OutlierDetector.java
@@ -1,6 +1,7 @@
 package fawnlb.policy;
 
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.Endpoint;
 
 /**
  * Ejects endpoints that fail, since quick errors would empty their count of requests in flight and draw ever more keys.
@@ -25,9 +26,7 @@
     /** A stall counts as two failures, so that the endpoint is ejected at once. */
     private static final int FAILURES_PER_STALL = 2;
 
-    private static final int NO_ZONE = -1;
-
-    private int failingZone = NO_ZONE;
+    private int failingZone = Endpoint.UNKNOWN;
     private int zoneFailures;
     private long zoneEjectedUntil;
 
@@ -104,6 +103,7 @@
         return zoneCount > 1
                 && zoneFailures >= ZONE_OUTAGE_FAILURES
                 && endpoint.zone == failingZone
+                && failingZone != Endpoint.UNKNOWN
                 && now < zoneEjectedUntil;
     }
 }
--- a/node/src/main/java/fawnlb/server/EndpointPublisher.java
+++ b/node/src/main/java/fawnlb/server/EndpointPublisher.java
@@ -26,7 +26,8 @@
  */
 @EventLoopOnly
 final class EndpointPublisher implements DiscoveryListener {
-    private final LoadBalancerSettings settings;
+    private final NameNumbers zones;
+    private final NameNumbers kinds;
     private final Set<String> messagesApiKinds;
     private final BackendPool backends;
     private final Timers timers;
@@ -38,15 +39,17 @@
     /**
      * Creates a publisher that must be {@linkplain #connect connected} before discovery starts.
      *
+     * @param names the names of zones and kinds in the settings
      * @param messagesApiKinds the kinds of endpoints that offer the messages API
      */
     EndpointPublisher(
-            LoadBalancerSettings settings,
+            LoadBalancerSettings.Names names,
             Set<String> messagesApiKinds,
             BackendPool backends,
             Timers timers,
             ReadinessGate readiness) {
-        this.settings = settings;
+        this.zones = new NameNumbers("locality", names::zoneIndex, names.zones().size());
+        this.kinds = new NameNumbers("flavor", names::kindIndex, names.kinds().size());
         this.messagesApiKinds = messagesApiKinds;
         this.backends = backends;
         this.timers = timers;
@@ -120,8 +123,8 @@
                 discovered.phase(),
                 startTimes.startedAt(discovered),
                 discovered.size(),
-                Math.max(0, settings.names().zones().indexOf(discovered.zone())),
+                zones.numberOf(discovered.zone()),
                 discovered.cell(),
-                Math.max(0, settings.names().kinds().indexOf(discovered.kind())));
+                kinds.numberOf(discovered.kind()));
     }
 }
--- a/node/src/main/java/fawnlb/server/Server.java
+++ b/node/src/main/java/fawnlb/server/Server.java
@@ -147,7 +147,7 @@
         SnapshotRecorder recorder = createSnapshotRecorder(restored);
         List<EndpointFilter> filters = createEndpointFilters(recorder, restored);
         EndpointPublisher publisher = new EndpointPublisher(
-                configuration.settings(), messagesApiKinds(), backends, eventLoop.timers(), readiness);
+                configuration.settings().names(), messagesApiKinds(), backends, eventLoop.timers(), readiness);
         discovery = new DiscoveryClient(
                 eventLoop.thread(),
                 eventLoop.timers(),
--- a/node/src/test/java/fawnlb/discovery/EndpointListCodecTest.java
+++ b/node/src/test/java/fawnlb/discovery/EndpointListCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.Endpoint;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.EndpointListFormatException.Reason;
 import java.io.IOException;
@@ -89,6 +90,16 @@
         }
     }
 
+    /** Number 0 would be a cell that other endpoints may have, with which this one may not share keys. */
+    @Test
+    public void absentZoneAndCellAreUnknown() throws IOException {
+        String endpoint = endpointJson("ready").replace("\"cell\":3,", "").replace("\"locality\":\"a\",", "");
+        EndpointList list = EndpointListCodec.parse(listJson(endpoint));
+
+        assertEquals("", list.endpoints().get(0).zone());
+        assertEquals(Endpoint.UNKNOWN, list.endpoints().get(0).cell());
+    }
+
     @Test
     public void acceptsNumericIpv6Addresses() throws IOException {
         EndpointList list = EndpointListCodec.parse(listJson(endpointJsonWithAddress("[::1]:9")));
--- a/node/src/test/java/fawnlb/platform/RequestHeaderParserTest.java
+++ b/node/src/test/java/fawnlb/platform/RequestHeaderParserTest.java
@@ -48,6 +48,16 @@
         assertEquals(new IncomingRequest(0, -1, 0, 0, 9, 0, 0, 0, false, null), parse(Map.of()));
     }
 
+    @Test
+    public void namesWithSpacesAreFoundInTheSimulatorsForm() throws InvalidRequestException {
+        RequestHeaderParser underscores = new RequestHeaderParser(
+                new SettingsParser("profiles.count=1\nprofiles.0.name=long_chat\norgs.count=1\norgs.0.name=a_b")
+                        .parse());
+        Map<String, String> headers = Map.of("X-Class", "long chat", "X-Tenant", "a,b");
+        assertEquals(0, underscores.parse(headers::get, null).classIndex());
+        assertEquals(0, underscores.parse(headers::get, null).tenantIndex());
+    }
+
     @Test
     public void malformedHeaderIsNamed() {
         assertRejected("X-Class", "X-Class", "odd");
--- a/node/src/test/java/fawnlb/policy/EndpointTableTest.java
+++ b/node/src/test/java/fawnlb/policy/EndpointTableTest.java
@@ -82,6 +82,20 @@
         assertFalse("forgotten without attempts", endpoint(1) == before);
     }
 
+    /**
+     * An attempt that breaks after the removal must not be repeated in another zone, whatever the removal's entry has.
+     */
+    @Test
+    public void goneEndpointKeepsItsZoneAndCell() {
+        update(EndpointUpdateKind.FULL, new Endpoint(5, EndpointPhase.READY, 0, 1, 2, 9, 0));
+        EndpointState removed = endpoint(5);
+        table.onAttemptStarted(removed);
+        update(EndpointUpdateKind.DELTA, new Endpoint(5, EndpointPhase.GONE, 0, 1, 0, 0, 0));
+        assertTrue(removed.isGone());
+        assertEquals(2, removed.zone);
+        assertEquals(9, removed.cell);
+    }
+
     @Test
     public void attemptsInFlightAreCountedInAllAndInTheLocalZone() {
         update(EndpointUpdateKind.FULL, ready(1), ready(2));
--- a/node/src/test/java/fawnlb/policy/IdempotencyRulesTest.java
+++ b/node/src/test/java/fawnlb/policy/IdempotencyRulesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.Endpoint;
 import fawnlb.decision.Idempotency;
 import fawnlb.decision.IdempotencyScope;
 import org.junit.Test;
@@ -61,6 +62,26 @@
         assertEquals(scope == IdempotencyScope.ALL, IdempotencyRules.mayReject(request));
     }
 
+    @Test
+    public void endpointOfUnknownZoneOrCellSharesKeysWithItselfAlone() {
+        EndpointState zoneUnknown = PolicyFixtures.endpoint(5, Endpoint.UNKNOWN, 0);
+        EndpointState cellUnknown = PolicyFixtures.endpoint(6, 0, Endpoint.UNKNOWN);
+        for (IdempotencyScope scope : new IdempotencyScope[] {IdempotencyScope.ZONE, IdempotencyScope.CELL}) {
+            ActiveRequest request =
+                    PolicyFixtures.request(PolicyFixtures.requestClass(Idempotency.IDEMPOTENCY_KEY, scope));
+            request.addAttempt(zoneUnknown, NOW);
+            request.endAttempt(request.attempt(0), true);
+            assertTrue(IdempotencyRules.permits(request, zoneUnknown, NOW));
+            assertFalse(IdempotencyRules.permits(request, PolicyFixtures.endpoint(7, Endpoint.UNKNOWN, 0), NOW));
+        }
+        ActiveRequest request =
+                PolicyFixtures.request(PolicyFixtures.requestClass(Idempotency.IDEMPOTENCY_KEY, IdempotencyScope.CELL));
+        request.addAttempt(cellUnknown, NOW);
+        request.endAttempt(request.attempt(0), true);
+        assertTrue(IdempotencyRules.permits(request, cellUnknown, NOW));
+        assertFalse(IdempotencyRules.permits(request, PolicyFixtures.endpoint(8, 0, Endpoint.UNKNOWN), NOW));
+    }
+
     @Test
     public void idempotencyKeysAreForgottenAfterTheirWindow() {
         ActiveRequest request = attempted(Idempotency.IDEMPOTENCY_KEY, IdempotencyScope.ALL, true);
--- a/node/src/test/java/fawnlb/policy/OutlierDetectorTest.java
+++ b/node/src/test/java/fawnlb/policy/OutlierDetectorTest.java
@@ -6,6 +6,7 @@
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.Endpoint;
 import org.junit.Test;
 
 public class OutlierDetectorTest {
@@ -105,6 +106,14 @@
         assertFalse("the only zone", detector.isEjected(endpoint, 1, NOW));
     }
 
+    @Test
+    public void endpointsOfUnknownZonesAreNotEjectedTogether() {
+        for (int id = 10; id < 13; id++) {
+            end(PolicyFixtures.endpoint(id, Endpoint.UNKNOWN, 0), AttemptOutcome.CONNECT_FAILED, NOW);
+        }
+        assertFalse(detector.isEjected(PolicyFixtures.endpoint(5, Endpoint.UNKNOWN, 0), ZONES, NOW));
+    }
+
     @Test
     public void failedTryProlongsTheEjectionOfTheZone() {
         failConnects(3);
