--- a/node/src/test/java/fawnlb/server/BrokerAdmissionTest.java
+++ b/node/src/test/java/fawnlb/server/BrokerAdmissionTest.java
@@ -86,6 +86,19 @@
         assertRejectionsBeforeAnyAttempt();
     }
 
+    @Test
+    public void classIsFoundWithSpacesOrUnderscoresInItsName() throws Exception {
+        broker.backendResponds(stream(broker.firstPart(), broker.secondPart()));
+        for (String requestClass : List.of("by zone", "by_zone")) {
+            String request =
+                    broker.streamRequest(requestClass.replace(' ', '-')).replace("strict", requestClass);
+
+            String response = broker.exchange(request);
+
+            assertTrue(requestClass + response, response.startsWith("HTTP/1.1 200"));
+        }
+    }
+
     @Test
     public void requestOverBudgetIsRejectedAndRejectionsAreNotCharged() throws Exception {
         broker.backendResponds(stream(broker.firstPart(), broker.secondPart()));
--- a/node/src/test/java/fawnlb/server/BrokerFixture.java
+++ b/node/src/test/java/fawnlb/server/BrokerFixture.java
@@ -40,7 +40,7 @@
 
     private static String brokerJson(String collectorAddress) {
         return "{\"listen\":\"127.0.0.1:0\",\"message-kinds\":[\"m\"],\"syslog\":{\"collector\":\"" + collectorAddress
-                + "\"},\"teams\":[{\"name\":\"t\",\"key\":\"k\",\"classes\":[\"chat\",\"strict\"],\"models\":[\"m\"],"
+                + "\"},\"teams\":[{\"name\":\"t\",\"key\":\"k\",\"classes\":[\"chat\",\"strict\",\"by zone\"],\"models\":[\"m\"],"
                 + "\"deadline-ms\":3000,\"budget\":{\"requests\":" + BUDGET_REQUESTS
                 + ",\"tokens\":1000,\"window-ms\":60000}}]}";
     }
--- a/node/src/test/java/fawnlb/server/IdempotencyZoneTest.java
+++ b/node/src/test/java/fawnlb/server/IdempotencyZoneTest.java
@@ -70,7 +70,7 @@
 
     private static String keyedRequest(int session) {
         String key = Integer.toHexString(0x9e3779b9 * (session + 1));
-        return chat("id-" + session, 3000, sessionKey(key)).replace("X-Class: chat", "X-Class: keyed");
+        return chat("id-" + session, 3000, sessionKey(key)).replace("X-Class: chat", "X-Class: by zone");
     }
 
     private static Set<String> sharedRequestIds(FakeHttpServer first, FakeHttpServer second) {
--- a/node/src/test/java/fawnlb/server/ServerConfigJson.java
+++ b/node/src/test/java/fawnlb/server/ServerConfigJson.java
@@ -103,7 +103,7 @@
                 + "},\"rules\":{\"ask-within-ns\":10000000000},\"profiles\":["
                 + "{\"name\":\"chat\",\"effect\":\"safe\",\"deadline-ns\":4000000000,\"late-worth\":0.5},"
                 + "{\"name\":\"strict\",\"effect\":\"unsafe\",\"deadline-ns\":4000000000,\"late-worth\":0.5},"
-                + "{\"name\":\"keyed\",\"effect\":\"keyed\",\"group\":\"zone\",\"window-ns\":4000000000,"
+                + "{\"name\":\"by zone\",\"effect\":\"keyed\",\"group\":\"zone\",\"window-ns\":4000000000,"
                 + "\"deadline-ns\":4000000000,\"late-worth\":0.5}]}}";
     }
 
