Drop the buffer of a rejected body when its memory is given back

Callers saw: a node ended with exit status 3 (OutOfMemoryError) within a second where hundreds of clients stopped half way through large bodies; other clients' connections were reset.

Cause: RequestBodyReceiver gave a rejected body's memory back to BodyMemoryBudget when the exchange was complete, but its buffer stayed reachable: listener of the completed exchange, its connection, LingeringClose (2 s). Evidence: the heap dump at the end had 92 buffers of 128 KB of bodies being read, as limited, and 464 of 64 KB of rejected ones. Ruled out: the limit itself, connections (2 KB each), heads (21 KB each).

Change: the receiver drops the buffer in the same step in which it gives the memory back, also for a request whose handler failed.

--- a/node/src/main/java/fawnlb/http/RequestBodyReceiver.java
+++ b/node/src/main/java/fawnlb/http/RequestBodyReceiver.java
@@ -59,7 +59,7 @@
     void begin() {
         exchange.addExchangeCompleteListener((completed, next) -> {
             stopReading();
-            memory.release(reservedBytes);
+            releaseBody();
             next.proceed();
         });
         long declaredBytes = Math.max(0, exchange.getRequestContentLength());
@@ -106,6 +106,7 @@
     private void onReadable() {
         UncaughtErrorHandler.run(this::readAvailable, "request body handler failed", () -> {
             stopReading();
+            releaseBody();
             onRejected.reject(exchange, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
         });
     }
@@ -241,6 +242,7 @@
     private void reject(int status, String text) {
         if (!done) {
             stopReading();
+            releaseBody();
             onRejected.reject(exchange, status, text);
         }
     }
@@ -251,6 +253,13 @@
         IoUtils.safeClose(connection);
     }
 
+    /** Drops what was received and gives its memory back; the exchange may be reachable for seconds yet. */
+    private void releaseBody() {
+        body = null;
+        memory.release(reservedBytes);
+        reservedBytes = 0;
+    }
+
     private void stopReading() {
         done = true;
         if (timeout != null) {
