--- a/node/src/test/java/fawnlb/translation/CompletionRequestTest.java
+++ b/node/src/test/java/fawnlb/translation/CompletionRequestTest.java
@@ -71,6 +71,19 @@
         }
     }
 
+    /** Guards against translated bodies of three times the size, as two escapes for each such character made them. */
+    @Test
+    public void charactersBeyondTheBasicPlaneKeepTheirSize() throws InvalidRequestException {
+        String symbols = "\uD83D\uDFE6".repeat(1000);
+        String body =
+                "{\"model\":\"m\",\"max_tokens\":1,\"messages\":[{\"role\":\"user\",\"content\":\"" + symbols + "\"}]}";
+
+        byte[] translated = decode(Dialect.CHAT, body).encode(Dialect.MESSAGES);
+
+        assertTrue(new String(translated, StandardCharsets.UTF_8).contains(symbols));
+        assertTrue(translated.length + " bytes", translated.length < 4 * 1000 + 200);
+    }
+
     @Test
     public void textPartsAreConcatenated() throws InvalidRequestException {
         String body = "{\"model\":\"m\",\"max_tokens\":1,\"system\":[{\"type\":\"text\",\"text\":\"a\"},"
