--- a/node/src/main/java/fawnlb/backend/AttemptExchange.java
+++ b/node/src/main/java/fawnlb/backend/AttemptExchange.java
@@ -1,6 +1,6 @@
 package fawnlb.backend;
 
-import fawnlb.eventloop.Timers;
+import fawnlb.http.BodyReference;
 import fawnlb.http.ResponseHead;
 import fawnlb.proxy.Backends;
 import fawnlb.proxy.ResponseSource;
@@ -21,13 +21,11 @@
  * actor.
  */
 final class AttemptExchange extends BackendExchange implements ResponseSource, StreamRegistry.Owner {
-    /** The body of an error is read up to this size and time, so that its connection can be used again. */
-    private static final int MAX_DISCARDED_BYTES = 64 * 1024;
-
-    private static final long DISCARD_TIMEOUT_NANOS = 250_000_000;
-
     private final AttemptParameters parameters;
     private final OutboundRequest request;
+    /** Closed as soon as the request is written and its response has begun, since responses may take long. */
+    private final BodyReference requestBody;
+
     private final Backends.AttemptListener listener;
     private final SendGuard sendGuard;
     private final AttemptReporter reporter;
@@ -40,21 +38,26 @@
     private RelayedBody body;
 
     private boolean isResponseComplete;
-    private long discardedBytes;
-    private Timers.Timer discardTimer;
-    private Sink sink;
-    /** A chunk for a sink that is not known yet. */
-    private ByteBuffer pendingChunk;
+    /** Null but for a response that is not relayed. */
+    private DiscardedBody discardedBody;
+
+    private final ResponseHandoff handoff = new ResponseHandoff();
 
     AttemptExchange(Backend backend, AttemptParameters parameters, Backends.AttemptListener listener) {
         super(backend);
         this.parameters = parameters;
         this.request = parameters.request();
+        this.requestBody = request.bodies().retain(backend.dialect());
         this.listener = listener;
         this.reporter = new AttemptReporter(backend, request, listener, tail);
         this.sendGuard = new SendGuard(backend, parameters, listener);
     }
 
+    /** Gives up the request's body, for an attempt that is not started. */
+    void releaseRequest() {
+        requestBody.close();
+    }
+
     /** Registers the attempt's stream; called once, before {@link #start}. */
     void openStream() {
         StreamParameters streamParameters = new StreamParameters(
@@ -88,7 +91,8 @@
     @Override
     ByteBuffer[] encodeRequest() {
         long remainingNanos = Math.max(0, parameters.responseDeadlineNanos() - now());
-        return request.encode(backend().dialect(), backend().identity().hostAndPort(), remainingNanos);
+        return request.encode(
+                requestBody.bytes(), backend().dialect(), backend().identity().hostAndPort(), remainingNanos);
     }
 
     @Override
@@ -108,7 +112,7 @@
             wakeTimer.schedule();
         } else {
             wakeTimer.cancel();
-            discardTimer = backend().timers().schedule(DISCARD_TIMEOUT_NANOS, () -> tell(() -> abort(failureReason())));
+            discardedBody = new DiscardedBody(backend().timers(), () -> tell(() -> abort(failureReason())));
         }
     }
 
@@ -127,32 +131,29 @@
     }
 
     private void discard(ByteBuffer bytes) {
-        discardedBytes += bytes.remaining();
-        if (discardedBytes > MAX_DISCARDED_BYTES) {
-            abort(failureReason());
-        } else {
+        if (discardedBody.discard(bytes)) {
             connection().resumeReading();
+        } else {
+            abort(failureReason());
         }
     }
 
     private void deliver(ByteBuffer bytes) {
         if (!bytes.hasRemaining()) {
             stream.onPartialData(now());
+            stream.setHeapBytes(body.heapBytes());
             stream.setBufferedBytes(body.bufferedBytes());
             resumeReading();
             return;
         }
-        stream.onChunk(now(), bytes.remaining());
-        reportResponse();
-        passToSink(bytes);
+        reportChunk(bytes);
+        handoff.pass(bytes);
     }
 
-    private void passToSink(ByteBuffer bytes) {
-        if (sink == null) {
-            pendingChunk = bytes;
-        } else {
-            sink.onChunk(bytes);
-        }
+    private void reportChunk(ByteBuffer bytes) {
+        stream.setHeapBytes(bytes.capacity() + body.heapBytes());
+        stream.onChunk(now(), bytes.remaining());
+        reportResponse();
     }
 
     /** Reads on, unless the exchange has lost its connection meanwhile. */
@@ -169,6 +170,9 @@
      */
     private void reportResponse() {
         reporter.reportResponse(responseHead, responseKind, this);
+        if (connection() == null || connection().isRequestWritten()) {
+            releaseRequest();
+        }
     }
 
     @Override
@@ -194,9 +198,8 @@
             ByteBuffer remainder = body.finish();
             if (remainder.hasRemaining()) {
                 stream.setBufferedBytes(0);
-                stream.onChunk(now(), remainder.remaining());
-                reportResponse();
-                passToSink(remainder);
+                reportChunk(remainder);
+                handoff.pass(remainder);
             }
             return true;
         } catch (IOException e) {
@@ -214,11 +217,7 @@
     @Override
     public void streamTo(Sink to) {
         tell(() -> {
-            sink = to;
-            if (pendingChunk != null) {
-                sink.onChunk(pendingChunk);
-                pendingChunk = null;
-            }
+            handoff.connect(to);
             if (isFinished()) {
                 endSink();
             }
@@ -264,7 +263,7 @@
     }
 
     private void closeStream() {
-        pendingChunk = null;
+        handoff.dropPending();
         stream.close();
         wakeTimer.cancel();
     }
@@ -292,16 +291,17 @@
     }
 
     private void breakSink() {
-        if (sink != null) {
+        if (handoff.isConnected()) {
             isResponseComplete = false;
-            sink.onBroken(stream.attemptEnd());
+            handoff.breakOff(stream.attemptEnd());
         }
     }
 
     @Override
     void onFinished(EndReason reason) {
-        if (discardTimer != null) {
-            discardTimer.cancel();
+        releaseRequest();
+        if (discardedBody != null) {
+            discardedBody.close();
         }
         if (reason == EndReason.COMPLETED || reason == EndReason.REJECTED) {
             stream.onResponseComplete(reason);
@@ -314,16 +314,14 @@
             reporter.recordUsage(body);
         }
         reporter.reportEnd(stream.attemptEnd(), responseHead);
-        if (sink != null) {
-            endSink();
-        }
+        endSink();
     }
 
     private void endSink() {
         if (isResponseComplete) {
-            sink.onComplete();
+            handoff.complete();
         } else {
-            sink.onBroken(stream.attemptEnd());
+            handoff.breakOff(stream.attemptEnd());
         }
     }
 }
--- a/node/src/main/java/fawnlb/backend/Backend.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -72,6 +72,7 @@
                 },
                 exchange::onInternalError);
         if (!accepted) {
+            exchange.releaseRequest();
             listener.onAttemptEnded(AttemptEnd.of(EndReason.NOT_SENT), 0, List.of());
         }
         return reason -> mailbox.tellOrFail(() -> exchange.cancel(reason), exchange::onInternalError);
--- a/node/src/main/java/fawnlb/backend/BackendPool.java
+++ b/node/src/main/java/fawnlb/backend/BackendPool.java
@@ -103,6 +103,16 @@
         });
     }
 
+    /** Returns whether there is a backend of this id. */
+    public boolean contains(long id) {
+        return backends.containsKey(id);
+    }
+
+    /** Returns the number of backends. */
+    public int size() {
+        return backends.size();
+    }
+
     @Override
     public Attempt startAttempt(
             long id,
@@ -116,7 +126,7 @@
             return rejectAttempt(listener);
         }
         OutboundRequest payload = (OutboundRequest) request.payload();
-        if (!payload.canBeSentAs(backend.dialect())) {
+        if (!payload.bodies().isAvailableIn(backend.dialect())) {
             return rejectAttempt(listener);
         }
         return backend.startAttempt(
--- a/node/src/main/java/fawnlb/backend/BufferedBody.java
+++ b/node/src/main/java/fawnlb/backend/BufferedBody.java
@@ -13,6 +13,8 @@
 final class BufferedBody extends RelayedBody {
     /** The longest answer without streaming; the models' token limits keep real ones far below. */
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 1 << 20;
+    /** A growing buffer may be twice as large as its content. */
+    private static final int MAX_BUFFER_GROWTH = 2;
 
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream(0);
 
@@ -45,4 +47,9 @@
     int bufferedBytes() {
         return buffer.size();
     }
+
+    @Override
+    long heapBytes() {
+        return (long) MAX_BUFFER_GROWTH * buffer.size() + parserHeapBytes();
+    }
 }
--- a/node/src/main/java/fawnlb/backend/OutboundRequest.java
+++ b/node/src/main/java/fawnlb/backend/OutboundRequest.java
@@ -13,8 +13,7 @@
  * @param requestId the id that the client gave the request
  * @param idempotencyKey by which backends recognise a repeated request, as the client sent it; null if it sent none
  * @param isStreamed whether the client asked for a stream of events
- * @param body the body as the client sent it
- * @param translatedBody the body in the other dialect, null where no backend speaks it
+ * @param bodies the body in the dialects that backends speak
  * @param responseSummary is filled in with what the response shows
  */
 public record OutboundRequest(
@@ -23,8 +22,7 @@
         String requestId,
         String idempotencyKey,
         boolean isStreamed,
-        byte[] body,
-        byte[] translatedBody,
+        RequestBodies bodies,
         ResponseSummary responseSummary)
         implements IncomingRequest.RequestPayload {
     /** A header that goes from the client to the backend unchanged. */
@@ -94,28 +92,27 @@
         }
     }
 
-    /** Whether there is a body in this dialect. */
-    boolean canBeSentAs(Dialect backendDialect) {
-        return dialect == backendDialect || translatedBody != null;
+    @Override
+    public void release() {
+        bodies.release();
     }
 
     /**
-     * Encodes the request's head, and returns it with the body, which is not copied: another attempt may need it.
+     * Encodes the request's head, and returns it with the body, which is not copied.
      *
-     * @param backendDialect a dialect for which {@link #canBeSentAs} is true
+     * @param backendDialect the dialect of the body
      * @param host the value of the header Host
      * @param remainingNanos how long the client can wait from now on; to be computed when the request is written, so
      *     that the header never states more time than is left
      */
-    ByteBuffer[] encode(Dialect backendDialect, String host, long remainingNanos) {
-        byte[] content = backendDialect == dialect ? body : translatedBody;
+    ByteBuffer[] encode(byte[] body, Dialect backendDialect, String host, long remainingNanos) {
         byte[] head = ("POST " + (backendDialect == dialect ? path : backendDialect.path()) + " HTTP/1.1\r\nHost: "
                         + host
                         + "\r\nX-Request-Id: " + requestId
                         + (idempotencyKey == null ? "" : "\r\n" + IDEMPOTENCY_KEY + ": " + idempotencyKey)
                         + "\r\nX-Deadline-Ms: " + remainingNanos / 1_000_000
-                        + "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n")
+                        + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1);
-        return new ByteBuffer[] {ByteBuffer.wrap(head), ByteBuffer.wrap(content)};
+        return new ByteBuffer[] {ByteBuffer.wrap(head), ByteBuffer.wrap(body)};
     }
 }
--- a/node/src/main/java/fawnlb/backend/RelayedBody.java
+++ b/node/src/main/java/fawnlb/backend/RelayedBody.java
@@ -60,6 +60,9 @@
     /** Bytes that were taken and can't be relayed yet. */
     abstract int bufferedBytes();
 
+    /** The heap that these bytes and their copies hold. */
+    abstract long heapBytes();
+
     /** Whether a part of the first event has come, which could be relayed before the rest. */
     boolean hasPartialFirstEvent() {
         return false;
@@ -80,6 +83,11 @@
         return parser == null ? 0 : parser.totalTokens();
     }
 
+    /** The heap that the parser holds for an event or a body that is not complete. */
+    final long parserHeapBytes() {
+        return parser == null ? 0 : parser.heapBytes();
+    }
+
     /** Reads along without relaying: what the parser can't read, no client could. */
     final void inspect(ByteBuffer bytes) throws IOException {
         if (parser != null) {
--- a/node/src/main/java/fawnlb/backend/StreamedBody.java
+++ b/node/src/main/java/fawnlb/backend/StreamedBody.java
@@ -39,6 +39,11 @@
         return firstEventBuffer.bufferedBytes();
     }
 
+    @Override
+    long heapBytes() {
+        return firstEventBuffer.heapBytes() + parserHeapBytes();
+    }
+
     @Override
     boolean hasPartialFirstEvent() {
         return firstEventBuffer.bufferedBytes() > 0;
--- a/node/src/main/java/fawnlb/backend/TranslatedBody.java
+++ b/node/src/main/java/fawnlb/backend/TranslatedBody.java
@@ -27,4 +27,9 @@
     int bufferedBytes() {
         return translator.bufferedBytes();
     }
+
+    @Override
+    long heapBytes() {
+        return parserHeapBytes();
+    }
 }
--- a/node/src/main/java/fawnlb/client/ClientConnectionTracker.java
+++ b/node/src/main/java/fawnlb/client/ClientConnectionTracker.java
@@ -3,18 +3,23 @@
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.ThreadSafe;
 import fawnlb.eventloop.Timers;
+import fawnlb.memory.MemoryBudget;
+import fawnlb.memory.MemoryReclaimer;
 import fawnlb.metrics.Metric;
 import fawnlb.metrics.Metrics;
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.ExchangeCompletionListener.NextListener;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
+import java.nio.ByteBuffer;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.ReadReadyHandler;
 
 /**
  * Tracks the client connections of this process from their accept on, and what each of them is doing.
@@ -41,18 +46,35 @@
      */
     public record Limits(int maxConnections, long idleTimeoutNanos, long requestHeadTimeoutNanos) {}
 
+    /** Whether a request can be served. */
+    public enum RequestAdmission {
+        ADMITTED,
+        /** There are too many connections. */
+        NO_CONNECTION,
+        /** There is no room for the request in memory. */
+        NO_MEMORY
+    }
+
     private final Limits limits;
     private final Timers timers;
     private final ConnectionTable connections;
+    private final RequestMemory memory;
     private final ConnectionCloser closer;
     private volatile boolean shuttingDown;
 
-    /** Creates a tracker, which starts at once to close connections at their timeouts. */
-    public ClientConnectionTracker(Limits limits, Timers timers) {
+    /**
+     * Creates a tracker, which starts at once to close connections at their timeouts.
+     *
+     * @param budget in which requests are reserved without their bodies
+     * @param slowBodies ends requests whose bodies arrive slowly, to make room for other connections
+     */
+    public ClientConnectionTracker(Limits limits, Timers timers, MemoryBudget budget, MemoryReclaimer slowBodies) {
         this.limits = limits;
         this.timers = timers;
         this.connections = new ConnectionTable(timers);
-        this.closer = new ConnectionCloser(connections, limits, timers);
+        this.memory = new RequestMemory(budget);
+        this.closer = new ConnectionCloser(connections, limits, timers, slowBodies);
+        budget.addReclaimer(closer::closeOldestPartialHead);
         closer.start();
     }
 
@@ -75,9 +97,11 @@
             return;
         }
         connections.add(connection, queuedNanos);
+        memory.add(connection);
         observeReads(connection);
         requestReader.handleEvent(connection);
         observeClose(connection);
+        reservePartialHead(connection);
     }
 
     private boolean hasRoomToAccept() {
@@ -89,58 +113,100 @@
     private void observeReads(StreamConnection connection) {
         ConduitStreamSourceChannel source = connection.getSourceChannel();
         source.setConduit(new ReadObserverConduit(
-                source.getConduit(), timers::onSocketEvent, () -> connections.onBytesRead(connection)));
+                source.getConduit(),
+                timers::onSocketEvent,
+                (buffer, from, to) -> onBytesRead(connection, buffer, from, to)));
+        source.getConduit()
+                .setReadReadyHandler(new AfterReadHandler(
+                        new ReadReadyHandler.ChannelListenerHandler<>(source), () -> reservePartialHead(connection)));
+    }
+
+    private void onBytesRead(StreamConnection connection, ByteBuffer buffer, int from, int to) {
+        connections.onBytesRead(connection);
+        if (connections.isReadingHead(connection)) {
+            memory.addHeadBytes(connection, buffer, from, to);
+        }
+    }
+
+    /** A head that is not complete after a read may stay so: it is reserved, or its connection is closed. */
+    private void reservePartialHead(StreamConnection connection) {
+        if (connections.isReadingHead(connection) && !memory.tryReserveHead(connection)) {
+            closer.closeForMemory(connection);
+        }
     }
 
     private void observeClose(StreamConnection connection) {
         ChannelListener<? super StreamConnection> undertowCloseListener = connection.getCloseListener();
         connection.setCloseListener(c -> {
-            connections.remove(connection);
+            remove(connection);
             ChannelListeners.invokeChannelListener(connection, undertowCloseListener);
         });
         if (!connection.isOpen()) {
-            connections.remove(connection);
+            remove(connection);
         }
     }
 
+    private void remove(StreamConnection connection) {
+        connections.remove(connection);
+        memory.remove(connection);
+    }
+
     /**
      * Must be called at the start of each request.
      *
      * <p>Connections over the limit are accepted, because a request on a connection that waits in the kernel's accept
      * queue would get no response at all.
      *
-     * @return whether the connection is within the limit; if not, the request must be rejected
+     * @return anything but {@code ADMITTED} if the request must be rejected
      */
-    public boolean onRequestStarted(HttpServerExchange exchange) {
+    public RequestAdmission onRequestStarted(HttpServerExchange exchange) {
         StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
         long queuedNanos = connections.startServing(connection);
         if (queuedNanos != ConnectionTable.NOT_QUEUED) {
             ClientExchange.recordQueueingDelay(exchange, queuedNanos);
         }
-        boolean hasRoom = connections.size() <= limits.maxConnections() || closer.tryMakeRoom();
-        if (!hasRoom) {
+        RequestAdmission admission = admit(connection, exchange);
+        if (admission == RequestAdmission.NO_CONNECTION) {
             exchange.setPersistent(false);
         }
         if (shuttingDown) {
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         }
         exchange.addExchangeCompleteListener((completed, next) -> onExchangeComplete(connection, completed, next));
-        return hasRoom;
+        return admission;
+    }
+
+    private RequestAdmission admit(StreamConnection connection, HttpServerExchange exchange) {
+        if (connections.size() > limits.maxConnections() && !closer.tryMakeRoom()) {
+            return RequestAdmission.NO_CONNECTION;
+        }
+        return memory.tryReserveRequest(connection, exchange) ? RequestAdmission.ADMITTED : RequestAdmission.NO_MEMORY;
     }
 
     private void onExchangeComplete(StreamConnection connection, HttpServerExchange exchange, NextListener next) {
         if (!exchange.isPersistent()) {
             closeAfterLastExchange(connection, exchange, next);
         } else if (((HttpServerConnection) exchange.getConnection()).getExtraBytes() == null) {
+            memory.releaseRequest(connection);
             connections.enterIfPresent(connection, ConnectionState.IDLE);
             next.proceed();
         } else {
+            memory.releaseRequest(connection);
             // The client has sent its next request, or a part of it, before it got this response.
-            runAfterNextPoll(connection, () -> {
-                connections.enterIfPresent(connection, ConnectionState.READING_HEAD);
-                next.proceed();
-            });
+            runAfterNextPoll(connection, () -> readNextRequest(connection, exchange, next));
+        }
+    }
+
+    /** Undertow reads the bytes that it has already as a task of the I/O thread. */
+    private void readNextRequest(StreamConnection connection, HttpServerExchange exchange, NextListener next) {
+        connections.enterIfPresent(connection, ConnectionState.READING_HEAD);
+        PooledByteBuffer readAhead = ((HttpServerConnection) exchange.getConnection()).getExtraBytes();
+        if (readAhead != null) {
+            ByteBuffer buffer = readAhead.getBuffer();
+            memory.addHeadBytes(connection, buffer, buffer.position(), buffer.limit());
         }
+        next.proceed();
+        connection.getIoThread().execute(() -> reservePartialHead(connection));
     }
 
     private void closeAfterLastExchange(StreamConnection connection, HttpServerExchange exchange, NextListener next) {
--- a/node/src/main/java/fawnlb/client/ConnectionCloser.java
+++ b/node/src/main/java/fawnlb/client/ConnectionCloser.java
@@ -3,6 +3,7 @@
 import fawnlb.client.ClientConnectionTracker.Limits;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
+import fawnlb.memory.MemoryReclaimer;
 import fawnlb.metrics.Invariant;
 import fawnlb.metrics.Metric;
 import fawnlb.metrics.Metrics;
@@ -24,16 +25,20 @@
     private static final long MIN_CHECK_INTERVAL_NANOS = 20_000_000;
     /** A head may begin right after a check, whose next check must not come much later than the head's timeout. */
     private static final long MAX_CHECK_INTERVAL_NANOS = 250_000_000;
+    /** Clients send a head in one piece; one that is incomplete for longer may be closed for want of memory. */
+    private static final long MIN_PARTIAL_HEAD_NANOS = 250_000_000;
 
     private final ConnectionTable connections;
     private final Limits limits;
     private final Timers timers;
+    private final MemoryReclaimer slowBodies;
     private boolean makingRoom;
 
-    ConnectionCloser(ConnectionTable connections, Limits limits, Timers timers) {
+    ConnectionCloser(ConnectionTable connections, Limits limits, Timers timers, MemoryReclaimer slowBodies) {
         this.connections = connections;
         this.limits = limits;
         this.timers = timers;
+        this.slowBodies = slowBodies;
     }
 
     /**
@@ -79,26 +84,42 @@
         try {
             return closeOldest(ConnectionState.IDLE)
                     || closeOldest(ConnectionState.CLOSING)
-                    || closeOldest(ConnectionState.READING_HEAD);
+                    || closeOldest(ConnectionState.READING_HEAD)
+                    || slowBodies.reclaim() && closeOldest(ConnectionState.CLOSING);
         } finally {
             makingRoom = false;
         }
     }
 
     private boolean closeOldest(ConnectionState state) {
+        return closeOldest(state, 0, CloseReason.CONNECTION_LIMIT);
+    }
+
+    /** Closes the oldest connection in a state that has been in it for a time, and returns whether there was one. */
+    private boolean closeOldest(ConnectionState state, long minNanos, CloseReason reason) {
         // Each pass closes the oldest connection, or finds that it has a request and another is the oldest now.
         for (int remainingChecks = connections.size(); remainingChecks > 0; remainingChecks--) {
             StreamConnection oldest = connections.oldestIn(state);
-            if (oldest == null) {
+            if (oldest == null || timers.now() - connections.get(oldest).sinceNanos() < minNanos) {
                 return false;
             }
-            if (closeUnlessRequestPending(oldest, CloseReason.CONNECTION_LIMIT)) {
+            if (closeUnlessRequestPending(oldest, reason)) {
                 return true;
             }
         }
         return false;
     }
 
+    /** Closes the connection whose head has been incomplete for longest, and returns whether there was one. */
+    boolean closeOldestPartialHead() {
+        return closeOldest(ConnectionState.READING_HEAD, MIN_PARTIAL_HEAD_NANOS, CloseReason.MEMORY_LIMIT);
+    }
+
+    /** Closes a connection whose incomplete head has no room in memory, unless its request is complete now. */
+    void closeForMemory(StreamConnection connection) {
+        closeUnlessRequestPending(connection, CloseReason.MEMORY_LIMIT);
+    }
+
     /**
      * Closes the connections that are idle or closing, and returns how many are left with a request or a part of one.
      */
--- a/node/src/main/java/fawnlb/client/ConnectionTable.java
+++ b/node/src/main/java/fawnlb/client/ConnectionTable.java
@@ -96,6 +96,12 @@
         return entries.get(connection);
     }
 
+    /** Whether a part of a request's head has been read on a connection. */
+    synchronized boolean isReadingHead(StreamConnection connection) {
+        Entry entry = entries.get(connection);
+        return entry != null && entry.isIn(ConnectionState.READING_HEAD);
+    }
+
     /** A copy of the present connections. */
     synchronized List<StreamConnection> connections() {
         return new ArrayList<>(entries.keySet());
--- a/node/src/main/java/fawnlb/client/ReadObserverConduit.java
+++ b/node/src/main/java/fawnlb/client/ReadObserverConduit.java
@@ -8,15 +8,22 @@
 /** Reports each read of a connection. Undertow doesn't report that a request's head begins. */
 final class ReadObserverConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private final Runnable beforeRead;
-    private final Runnable onBytesRead;
+    private final ReadListener onBytesRead;
+
+    /** Receives the bytes of a read. */
+    @FunctionalInterface
+    interface ReadListener {
+        /** Called after each read that returned bytes, which stand in the buffer from one index to before the other. */
+        void onBytesRead(ByteBuffer buffer, int from, int to);
+    }
 
     /**
      * Creates a conduit.
      *
      * @param beforeRead runs before each read
-     * @param onBytesRead runs after each read that returned bytes
+     * @param onBytesRead is called after each read that returned bytes
      */
-    ReadObserverConduit(StreamSourceConduit next, Runnable beforeRead, Runnable onBytesRead) {
+    ReadObserverConduit(StreamSourceConduit next, Runnable beforeRead, ReadListener onBytesRead) {
         super(next);
         this.beforeRead = beforeRead;
         this.onBytesRead = onBytesRead;
@@ -27,7 +34,7 @@
         beforeRead.run();
         int count = super.read(buffer);
         if (count > 0) {
-            onBytesRead.run();
+            onBytesRead.onBytesRead(buffer, buffer.position() - count, buffer.position());
         }
         return count;
     }
--- a/node/src/main/java/fawnlb/config/ServerConfiguration.java
+++ b/node/src/main/java/fawnlb/config/ServerConfiguration.java
@@ -18,6 +18,7 @@
  * @param name the name of the server in its log
  * @param seed the seed of the load balancer's random numbers
  * @param maxDescriptors how many file descriptors the process may have open
+ * @param memoryLimitMegabytes the memory over which the platform kills the process, 0 if it is not known
  * @param initialEndpoints the endpoint list as the server last had it, null if it never had one
  * @param warnings a line for each setting of the load balancer that could not be read and got its default
  */
@@ -27,6 +28,7 @@
         InetSocketAddress discoveryAddress,
         long seed,
         int maxDescriptors,
+        int memoryLimitMegabytes,
         EndpointList initialEndpoints,
         LoadBalancerSettings settings,
         List<String> warnings) {
@@ -64,6 +66,7 @@
                         environment.getOrDefault(DISCOVERY_VARIABLE, server.readText("node.discovery", null))),
                 parseSeed(server.readText("node.seed", "0")),
                 parseMaxDescriptors(server.readText("node.limits.sockets", "1024")),
+                parseMemoryLimit(server.readText("node.limits.memory_mb", null)),
                 content.initialEndpoints(),
                 settings,
                 parser.warnings());
@@ -113,4 +116,19 @@
         throw new ConfigurationException(
                 null, "limits.sockets", "expected " + MIN_DESCRIPTORS + " or more, found '" + text + "'");
     }
+
+    private static int parseMemoryLimit(String text) throws ConfigurationException {
+        if (text == null) {
+            return 0;
+        }
+        try {
+            double megabytes = Double.parseDouble(text);
+            if (megabytes >= 1 && megabytes <= Integer.MAX_VALUE) {
+                return (int) megabytes;
+            }
+        } catch (NumberFormatException e) {
+            // Rejected below, like a number that is out of range.
+        }
+        throw new ConfigurationException(null, "limits.memory_mb", "expected 1 or more, found '" + text + "'");
+    }
 }
--- a/node/src/main/java/fawnlb/discovery/DiscoveryListener.java
+++ b/node/src/main/java/fawnlb/discovery/DiscoveryListener.java
@@ -13,6 +13,13 @@
      */
     void onDiscoveryUpdate(EndpointUpdateKind kind, EndpointList list);
 
+    /**
+     * Called before a list is taken.
+     *
+     * @throws EndpointListFormatException if there is no room for it; the list that is held stays
+     */
+    default void checkRoom(EndpointList list) throws EndpointListFormatException {}
+
     /** Learns that discovery answers and that nothing has changed since the last list. */
     default void onHeartbeat() {}
 }
--- a/node/src/main/java/fawnlb/discovery/EndpointListFormatException.java
+++ b/node/src/main/java/fawnlb/discovery/EndpointListFormatException.java
@@ -14,7 +14,7 @@
         MALFORMED,
         /** An object breaks off before its end. */
         TRUNCATED,
-        /** An object is longer than the limit. */
+        /** An object is longer than the limit, or there would be too many endpoints. */
         TOO_LARGE,
         /** There is none or more than one list where one is expected, or it names no revision. */
         INCOMPLETE,
@@ -30,6 +30,11 @@
         this(reason, message, null);
     }
 
+    /** Creates an exception for a list after which there would be more endpoints than there is room for. */
+    public static EndpointListFormatException tooManyEndpoints(int count, int limit) {
+        return new EndpointListFormatException(Reason.TOO_LARGE, count + " endpoints, over the limit of " + limit);
+    }
+
     EndpointListFormatException(Reason reason, String message, Throwable cause) {
         super(message, cause);
         this.reason = reason;
--- a/node/src/main/java/fawnlb/discovery/EndpointListReceiver.java
+++ b/node/src/main/java/fawnlb/discovery/EndpointListReceiver.java
@@ -3,6 +3,9 @@
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.discovery.EndpointListFormatException.Reason;
 import fawnlb.eventloop.EventLoopOnly;
+import fawnlb.metrics.LogLine;
+import java.util.List;
+import java.util.logging.Logger;
 
 /**
  * Decides what a list that has come in means for the endpoint list that is held, and hands it to the listener. It keeps
@@ -10,6 +13,8 @@
  */
 @EventLoopOnly
 final class EndpointListReceiver {
+    private static final Logger LOG = Logger.getLogger(EndpointListReceiver.class.getName());
+
     private final DiscoveryListener listener;
     private long revision;
 
@@ -22,18 +27,27 @@
         return revision;
     }
 
-    /** Takes the endpoint list that the instance held when it last ran. */
+    /** Takes the endpoint list that the instance held when it last ran, or none if there is no room for it. */
     void startFrom(EndpointList cachedList) {
-        revision = cachedList.revision();
-        listener.onDiscoveryUpdate(EndpointUpdateKind.CACHED, cachedList);
+        EndpointList usableList = cachedList;
+        try {
+            listener.checkRoom(cachedList);
+        } catch (EndpointListFormatException e) {
+            LOG.warning(LogLine.event("known endpoints not used")
+                    .reason(e.getMessage())
+                    .toString());
+            usableList = new EndpointList(0, true, List.of());
+        }
+        revision = usableList.revision();
+        listener.onDiscoveryUpdate(EndpointUpdateKind.CACHED, usableList);
     }
 
     /**
      * Takes a list from a watch. A whole list counts as it stands, since a service that has started anew, or another
      * one, may count revisions from a lower number.
      *
-     * @throws EndpointListFormatException if it is no list, or its changes are older than what is held; the next watch
-     *     then asks for the whole list
+     * @throws EndpointListFormatException if it is no list, there is no room for it, or its changes are older than what
+     *     is held; the next watch then asks for the whole list
      */
     void acceptFromWatch(String json) throws EndpointListFormatException {
         EndpointList list = EndpointListCodec.parse(json);
@@ -43,6 +57,7 @@
             throw new EndpointListFormatException(
                     Reason.STALE_REVISION, "revision " + list.revision() + " after " + heldRevision);
         }
+        listener.checkRoom(list);
         revision = list.revision();
         deliver(list);
     }
@@ -50,10 +65,11 @@
     /**
      * Takes a list that was fetched on a call of its own; a watch may have brought a newer one since.
      *
-     * @throws EndpointListFormatException if it is no list
+     * @throws EndpointListFormatException if it is no list, or there is no room for it
      */
     void acceptFromFetch(String json) throws EndpointListFormatException {
         EndpointList list = EndpointListCodec.parse(json);
+        listener.checkRoom(list);
         revision = Math.max(revision, list.revision());
         deliver(list);
     }
--- a/node/src/main/java/fawnlb/http/HttpClientConnection.java
+++ b/node/src/main/java/fawnlb/http/HttpClientConnection.java
@@ -134,6 +134,7 @@
         cancelHeadTimeout();
         closed = true;
         responseHandler = null;
+        requestWriter.discard();
         IoUtils.safeClose(channel);
     }
 
@@ -151,6 +152,11 @@
         onWritable();
     }
 
+    /** Whether the last byte of the request was passed to the kernel, so that nothing of it is needed here. */
+    public boolean isRequestWritten() {
+        return requestWriter.isDone();
+    }
+
     /**
      * Asks for the next part of the body. It comes after the I/O thread has polled all sockets again. An immediate read
      * would let a backend that sends without a pause occupy the thread.
--- a/node/src/main/java/fawnlb/http/RequestBodyReceiver.java
+++ b/node/src/main/java/fawnlb/http/RequestBodyReceiver.java
@@ -3,6 +3,8 @@
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.UncaughtErrorHandler;
 import fawnlb.http.RequestBodyReader.RejectionHandler;
+import fawnlb.memory.MemoryReservation;
+import fawnlb.metrics.RejectionReason;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
@@ -24,33 +26,35 @@
 @EventLoopOnly
 final class RequestBodyReceiver {
     /** The largest body that the protocol allows. */
-    private static final int MAX_BODY_BYTES = 256 * 1024;
+    static final int MAX_BODY_BYTES = 256 * 1024;
     /** Most bodies fit in the first buffer; a larger one doubles it until it fits. */
     private static final int INITIAL_BUFFER_BYTES = 8 * 1024;
     /** A client that stops in the middle of its body must get an error within 3 s of its connect. */
     private static final long BODY_TIMEOUT_MS = 2000;
-    /** Bodies are in memory for as long as their requests run, so a second later there may be room. */
-    private static final int RETRY_AFTER_SECONDS = 1;
 
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
-    private final BodyMemoryBudget memory;
-    private final BiConsumer<HttpServerExchange, byte[]> onBody;
+    private final RequestBodyReader reader;
+    private final MemoryReservation memory;
+    private final BiConsumer<HttpServerExchange, BodyReference> onBody;
     private final RejectionHandler onRejected;
     private BodyFraming framing;
     private ByteBuffer body = ByteBuffer.allocate(0);
-    private int reservedBytes;
+    /** No buffer is larger; less than the protocol's limit if the head declares the length. */
+    private int maxBufferBytes = MAX_BODY_BYTES;
+
     private XnioExecutor.Key timeout;
     private boolean done;
 
     RequestBodyReceiver(
             HttpServerExchange exchange,
-            BodyMemoryBudget memory,
-            BiConsumer<HttpServerExchange, byte[]> onBody,
+            RequestBodyReader reader,
+            BiConsumer<HttpServerExchange, BodyReference> onBody,
             RejectionHandler onRejected) {
         this.exchange = exchange;
         this.connection = (HttpServerConnection) exchange.getConnection();
-        this.memory = memory;
+        this.reader = reader;
+        this.memory = reader.openReservation();
         this.onBody = onBody;
         this.onRejected = onRejected;
     }
@@ -58,8 +62,7 @@
     /** Starts to receive the body. Must be called once. */
     void begin() {
         exchange.addExchangeCompleteListener((completed, next) -> {
-            stopReading();
-            releaseBody();
+            dropBody();
             next.proceed();
         });
         long declaredBytes = Math.max(0, exchange.getRequestContentLength());
@@ -67,16 +70,24 @@
             reject(bodyTooLarge());
         } else if (exchange.isRequestComplete()) {
             done = true;
-            onBody.accept(exchange, new byte[0]);
+            deliver(new byte[0]);
         } else {
-            framing = exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)
-                    ? BodyFraming.chunked(MAX_BODY_BYTES)
-                    : BodyFraming.fixedLength(declaredBytes);
+            selectFraming((int) declaredBytes);
             startReading();
         }
     }
 
+    private void selectFraming(int declaredBytes) {
+        if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+            framing = BodyFraming.chunked(MAX_BODY_BYTES);
+        } else {
+            framing = BodyFraming.fixedLength(declaredBytes);
+            maxBufferBytes = declaredBytes;
+        }
+    }
+
     private void startReading() {
+        reader.onReceiving(this);
         timeout = exchange.getIoThread().executeAfter(this::onTimeout, BODY_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         connection.getChannel().getSourceChannel().setReadListener(c -> onReadable());
         if (HttpContinue.requiresContinueResponse(exchange)) {
@@ -105,8 +116,7 @@
 
     private void onReadable() {
         UncaughtErrorHandler.run(this::readAvailable, "request body handler failed", () -> {
-            stopReading();
-            releaseBody();
+            dropBody();
             onRejected.reject(exchange, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
         });
     }
@@ -202,19 +212,18 @@
     }
 
     private void growBuffer() throws InvalidRequestException, ResourceExhaustedException {
-        int newCapacity = Math.min(MAX_BODY_BYTES, Math.max(INITIAL_BUFFER_BYTES, 2 * reservedBytes));
-        if (newCapacity == reservedBytes) {
+        int capacity = body.capacity();
+        int newCapacity = Math.min(maxBufferBytes, Math.max(INITIAL_BUFFER_BYTES, 2 * capacity));
+        if (newCapacity == capacity) {
             throw bodyTooLarge();
         }
-        if (!memory.tryReserve(newCapacity - reservedBytes)) {
-            throw new ResourceExhaustedException(
-                    "request body memory", RETRY_AFTER_SECONDS, "no room for the body; try again later");
+        if (!memory.tryResize(newCapacity)) {
+            throw ResourceExhaustedException.noRoomForBody();
         }
         body = ByteBuffer.wrap(Arrays.copyOf(body.array(), newCapacity)).position(body.position());
-        reservedBytes = newCapacity;
     }
 
-    private static InvalidRequestException bodyTooLarge() {
+    static InvalidRequestException bodyTooLarge() {
         return new InvalidRequestException(
                 StatusCodes.REQUEST_ENTITY_TOO_LARGE, InvalidRequestException.BODY, "the body is over 256 KiB");
     }
@@ -222,47 +231,71 @@
     private void complete() {
         stopReading();
         Connectors.terminateRequest(exchange);
-        byte[] content = Arrays.copyOf(body.array(), body.position());
-        memory.release(reservedBytes - content.length);
-        reservedBytes = content.length;
+        int size = body.position();
+        byte[] content = size == body.capacity() ? body.array() : Arrays.copyOf(body.array(), size);
         body = null;
-        onBody.accept(exchange, content);
+        memory.resize(size);
+        deliver(content);
+    }
+
+    private void deliver(byte[] content) {
+        BodyReference reference = BodyReference.create(content, memory);
+        RequestBodyReader.closeOnCompletion(exchange, reference);
+        onBody.accept(exchange, reference);
+    }
+
+    /**
+     * Rejects the request to make room for others. It is read once more before: on a busy processor its body may lie
+     * unread.
+     *
+     * @return false if the body is complete now
+     */
+    boolean rejectUnlessComplete() {
+        onReadable();
+        if (framing.isComplete()) {
+            return false;
+        }
+        reject(ResourceExhaustedException.noRoomForBody());
+        return true;
     }
 
     private void reject(InvalidRequestException e) {
-        reject(e.status(), e.getMessage());
+        reject(RejectionReason.INVALID, e.status(), e.getMessage());
     }
 
     private void reject(ResourceExhaustedException e) {
         exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Integer.toString(e.retryAfterSeconds()));
-        reject(StatusCodes.SERVICE_UNAVAILABLE, e.getMessage());
+        reject(RejectionReason.BODY_MEMORY, StatusCodes.SERVICE_UNAVAILABLE, e.getMessage());
     }
 
     /** Answers without reading on. The connection closes after the response, whatever the client still sends. */
-    private void reject(int status, String text) {
+    private void reject(RejectionReason reason, int status, String text) {
         if (!done) {
-            stopReading();
-            releaseBody();
+            dropBody();
+            reason.record(exchange.getRequestHeaders().getFirst("X-Request-Id"));
             onRejected.reject(exchange, status, text);
         }
     }
 
     private void onClientDisconnected() {
-        stopReading();
+        dropBody();
         Connectors.terminateRequest(exchange);
         IoUtils.safeClose(connection);
     }
 
-    /** Drops what was received and gives its memory back; the exchange may be reachable for seconds yet. */
-    private void releaseBody() {
-        body = null;
-        memory.release(reservedBytes);
-        reservedBytes = 0;
+    /** Stops reading and drops what was read; the exchange may be reachable for seconds yet. */
+    private void dropBody() {
+        stopReading();
+        if (body != null) {
+            body = null;
+            memory.release();
+        }
     }
 
     private void stopReading() {
         done = true;
         if (timeout != null) {
+            reader.onReceived(this);
             timeout.remove();
             connection.getOriginalSourceConduit().suspendReads();
         }
--- a/node/src/main/java/fawnlb/http/RequestHeadValidator.java
+++ b/node/src/main/java/fawnlb/http/RequestHeadValidator.java
@@ -4,12 +4,16 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import java.util.Deque;
 
 /**
  * Checks request heads more strictly than Undertow, which parses them. A request that two parsers could understand
  * differently is rejected, because a backend might see another request in it than the load balancer does.
  */
 public final class RequestHeadValidator {
+    /** As many as Undertow is set to accept in a query; it has no limit for those of a path. */
+    public static final int MAX_PARAMETERS = 64;
+
     private static final char DELETE_CHARACTER = 0x7f;
     /** The characters besides letters and digits that RFC 9110 doesn't allow in a token. */
     private static final String DELIMITERS = "\"(),/:;<=>?@[\\]{}";
@@ -27,6 +31,9 @@
             // HTTP/1.0 has no chunks, so a truncated stream would look complete to the client.
             throw badRequest(InvalidRequestException.HEAD, "only HTTP/1.1 is spoken here");
         }
+        if (countPathParameters(exchange) > MAX_PARAMETERS) {
+            throw badRequest(InvalidRequestException.HEAD, "the path has too many parameters");
+        }
         for (HeaderValues header : exchange.getRequestHeaders()) {
             validateHeader(header);
         }
@@ -49,6 +56,12 @@
         return values == null ? null : values.getFirst();
     }
 
+    private static int countPathParameters(HttpServerExchange exchange) {
+        return exchange.getPathParameters().values().stream()
+                .mapToInt(Deque::size)
+                .sum();
+    }
+
     private static void validateHeader(HeaderValues header) throws InvalidRequestException {
         String name = header.getHeaderName().toString();
         if (!isToken(name)) {
--- a/node/src/main/java/fawnlb/http/RequestWriter.java
+++ b/node/src/main/java/fawnlb/http/RequestWriter.java
@@ -26,6 +26,11 @@
         return unwritten == null;
     }
 
+    /** Drops what is left of the request. */
+    void discard() {
+        unwritten = null;
+    }
+
     /**
      * Writes as much as possible now. If bytes are left, the channel calls its write listener when it can take more.
      */
--- a/node/src/main/java/fawnlb/http/ResourceExhaustedException.java
+++ b/node/src/main/java/fawnlb/http/ResourceExhaustedException.java
@@ -4,6 +4,9 @@
 public final class ResourceExhaustedException extends Exception {
     private static final long serialVersionUID = 1;
 
+    /** Bodies are in memory until their responses begin, so a second later there may be room. */
+    private static final int BODY_RETRY_AFTER_SECONDS = 1;
+
     private final String resource;
     private final int retryAfterSeconds;
 
@@ -20,6 +23,12 @@
         this.retryAfterSeconds = retryAfterSeconds;
     }
 
+    /** There is no room for the body of a request. */
+    static ResourceExhaustedException noRoomForBody() {
+        return new ResourceExhaustedException(
+                "request body memory", BODY_RETRY_AFTER_SECONDS, "no room for the body; try again later");
+    }
+
     /** What is used up. */
     public String resource() {
         return resource;
--- a/node/src/main/java/fawnlb/http/ResponseParser.java
+++ b/node/src/main/java/fawnlb/http/ResponseParser.java
@@ -18,6 +18,9 @@
     /** The limit for all heads of a response, interim (1xx) ones included, so that a head which never ends fails. */
     private static final int MAX_HEAD_BYTES = 16 * 1024;
 
+    /** Each header of a head that is being read takes far more of the heap than its bytes. */
+    private static final int MAX_HEADERS = 64;
+
     /** Backends send events of a few hundred bytes each, so a chunk larger than this is not one of theirs. */
     private static final long MAX_CHUNK_BYTES = 1 << 20;
 
@@ -148,6 +151,9 @@
         String value = line.substring(colon + 1).trim();
         String previousValue = headers.put(name, value);
         lastHeaderName = name;
+        if (headers.size() > MAX_HEADERS) {
+            throw new MalformedMessageException("more than " + MAX_HEADERS + " headers");
+        }
         if (previousValue != null && !previousValue.equals(value) && RequestHeadValidator.isFramingHeader(name)) {
             throw new MalformedMessageException("two different headers " + name);
         }
@@ -163,7 +169,8 @@
         String connection = headers.getOrDefault("connection", "").toLowerCase(Locale.ROOT);
         keepAlive = keepAlive ? !connection.contains("close") : connection.contains("keep-alive");
         framing = selectFraming();
-        head = new ResponseHead(status, headers, keepAlive);
+        head = ResponseHead.keepingKnownHeaders(status, headers, keepAlive);
+        headers = Map.of();
     }
 
     private BodyFraming selectFraming() throws MalformedMessageException {
--- /dev/null
+++ b/node/src/main/java/fawnlb/memory/MemoryObserver.java
@@ -0,0 +1,23 @@
+package fawnlb.memory;
+
+/** Is told when a {@link MemoryBudget} has no room. */
+public interface MemoryObserver {
+    /** An observer that does nothing. */
+    MemoryObserver NONE = new MemoryObserver() {
+        @Override
+        public void onRefused(MemoryUse use, long requestedBytes) {
+            // Nobody is to be told.
+        }
+
+        @Override
+        public void onReclaimed(MemoryUse use) {
+            // Nobody is to be told.
+        }
+    };
+
+    /** A reservation was refused. */
+    void onRefused(MemoryUse use, long requestedBytes);
+
+    /** A reclaimer has ended a holder of memory so that a reservation for the given use fits. */
+    void onReclaimed(MemoryUse use);
+}
--- a/node/src/main/java/fawnlb/messages/BrokerHandler.java
+++ b/node/src/main/java/fawnlb/messages/BrokerHandler.java
@@ -6,11 +6,12 @@
 import fawnlb.contract.Budget;
 import fawnlb.contract.Contract;
 import fawnlb.contract.Contracts;
-import fawnlb.decision.LoadBalancerSettings;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
+import fawnlb.http.BodyReference;
 import fawnlb.http.InvalidRequestException;
 import fawnlb.http.RequestBodyReader;
+import fawnlb.http.ResourceExhaustedException;
 import fawnlb.proxy.RequestProxy;
 import fawnlb.translation.Dialect;
 import io.undertow.server.HttpHandler;
@@ -41,14 +42,14 @@
             RequestProxy requestProxy,
             RequestBodyReader bodyReader,
             InFlightRequestIds inFlightIds,
-            LoadBalancerSettings settings,
+            BrokerRequestReader requestReader,
             Contracts contracts,
             Timers timers,
             RequestLog requestLog) {
         this.forwarder = new RequestForwarder(requestProxy);
         this.bodyReader = bodyReader;
         this.inFlightIds = inFlightIds;
-        this.requestReader = new BrokerRequestReader(settings);
+        this.requestReader = requestReader;
         this.contracts = contracts;
         this.timers = timers;
         this.requestLog = requestLog;
@@ -70,11 +71,12 @@
         }
     }
 
-    private void handleBody(HttpServerExchange exchange, Dialect dialect, byte[] body) {
+    private void handleBody(HttpServerExchange exchange, Dialect dialect, BodyReference body) {
         RequestRecord record = startRecord(exchange, dialect);
         try {
             admit(exchange, record, body);
         } catch (RequestRejectedException rejection) {
+            rejection.reason().record(record.id());
             reject(exchange, record, rejection);
         }
     }
@@ -83,7 +85,8 @@
         return new RequestRecord(BrokerRequestReader.requestId(exchange), dialect, timers.now());
     }
 
-    private void admit(HttpServerExchange exchange, RequestRecord record, byte[] body) throws RequestRejectedException {
+    private void admit(HttpServerExchange exchange, RequestRecord record, BodyReference body)
+            throws RequestRejectedException {
         Contract contract = authenticate(exchange);
         record.setTeam(contract.team());
         ResponseSummary responseSummary = ResponseSummary.withUsage();
@@ -104,12 +107,14 @@
             Contract contract,
             RequestRecord record,
             ResponseSummary responseSummary,
-            byte[] body)
+            BodyReference body)
             throws RequestRejectedException {
         try {
             return requestReader.read(exchange, contract, record, responseSummary, body);
         } catch (InvalidRequestException e) {
             throw new RequestRejectedException(e.status(), e.getMessage());
+        } catch (ResourceExhaustedException e) {
+            throw RequestRejectedException.resourceExhausted(e);
         }
     }
 
--- a/node/src/main/java/fawnlb/messages/BrokerRequestReader.java
+++ b/node/src/main/java/fawnlb/messages/BrokerRequestReader.java
@@ -1,23 +1,30 @@
 package fawnlb.messages;
 
 import fawnlb.backend.OutboundRequest;
+import fawnlb.backend.RequestBodies;
 import fawnlb.client.AffinityKeys;
 import fawnlb.contract.Contract;
 import fawnlb.decision.LoadBalancerSettings;
+import fawnlb.eventloop.EventLoopOnly;
+import fawnlb.http.BodyReference;
 import fawnlb.http.InvalidRequestException;
+import fawnlb.http.RequestBodyReader;
 import fawnlb.http.RequestHeadValidator;
+import fawnlb.http.ResourceExhaustedException;
 import fawnlb.proxy.IncomingRequest;
 import fawnlb.translation.CompletionRequest;
 import fawnlb.translation.Dialect;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 
-/** Reads teams' requests: from a head and a whole body to what the proxy forwards. Stateless. */
-final class BrokerRequestReader {
+/** Reads teams' requests: from a head and a whole body to what the proxy forwards. */
+@EventLoopOnly
+public final class BrokerRequestReader {
     private static final String CLASS = "X-Class";
     private static final String DEADLINE_MS = "X-Deadline-Ms";
     private static final String SESSION_KEY = "X-Key";
@@ -29,9 +36,20 @@
     private static final long MAX_CLIENT_DEADLINE_MS = TimeUnit.DAYS.toMillis(1);
 
     private final LoadBalancerSettings settings;
+    private final RequestBodyReader bodyReader;
+    private final Set<Dialect> backendDialects;
 
-    BrokerRequestReader(LoadBalancerSettings settings) {
+    /**
+     * Creates a reader.
+     *
+     * @param bodyReader has received the bodies, and keeps the translated ones
+     * @param backendDialects the dialects that backends speak
+     */
+    public BrokerRequestReader(
+            LoadBalancerSettings settings, RequestBodyReader bodyReader, Set<Dialect> backendDialects) {
         this.settings = settings;
+        this.bodyReader = bodyReader;
+        this.backendDialects = Set.copyOf(backendDialects);
     }
 
     /** Returns the client's id for its request, or a new one if it gave none that can be forwarded. */
@@ -59,18 +77,20 @@
      *
      * @param responseSummary is filled in when the response comes
      * @throws InvalidRequestException if headers or body are invalid; its message tells the client what is wrong
+     * @throws ResourceExhaustedException if there is no room for the translated body
      */
     BrokerRequest read(
             HttpServerExchange exchange,
             Contract contract,
             RequestRecord record,
             OutboundRequest.ResponseSummary responseSummary,
-            byte[] body)
-            throws InvalidRequestException {
-        CompletionRequest completion = CompletionRequest.decode(record.dialect(), body);
+            BodyReference body)
+            throws InvalidRequestException, ResourceExhaustedException {
+        CompletionRequest completion = CompletionRequest.decode(record.dialect(), body.bytes());
         record.setClassAndModel(requestClass(exchange, contract), completion.model());
         checkClassIsServed(record.requestClass(), contract);
-        OutboundRequest outbound = outboundRequest(exchange, record, completion, responseSummary, body);
+        RequestBodies bodies = requestBodies(exchange, record.dialect(), completion, body);
+        OutboundRequest outbound = outboundRequest(exchange, record, completion, responseSummary, bodies);
         return new BrokerRequest(completion, incomingRequest(exchange, contract, record, completion, outbound));
     }
 
@@ -98,13 +118,27 @@
         return settings.names().classIndex(requestClass);
     }
 
-    /** Returns the request as it is sent to backends, in the client's dialect and in the other one. */
+    /** Returns the body in the dialects that backends speak, which is at least one. */
+    private RequestBodies requestBodies(
+            HttpServerExchange exchange, Dialect dialect, CompletionRequest completion, BodyReference body)
+            throws InvalidRequestException, ResourceExhaustedException {
+        BodyReference translated = backendDialects.contains(dialect.other())
+                ? bodyReader.keep(exchange, completion.encode(dialect.other()))
+                : null;
+        if (backendDialects.contains(dialect)) {
+            return new RequestBodies(dialect, body, translated);
+        }
+        body.close();
+        return new RequestBodies(dialect, null, translated);
+    }
+
+    /** Returns the request as it is sent to backends. */
     private static OutboundRequest outboundRequest(
             HttpServerExchange exchange,
             RequestRecord record,
             CompletionRequest completion,
             OutboundRequest.ResponseSummary responseSummary,
-            byte[] body)
+            RequestBodies bodies)
             throws InvalidRequestException {
         Dialect dialect = record.dialect();
         String query = exchange.getQueryString();
@@ -114,8 +148,7 @@
                 record.id(),
                 RequestHeadValidator.singleHeader(exchange, OutboundRequest.IDEMPOTENCY_KEY),
                 completion.stream(),
-                body,
-                completion.encode(dialect.other()),
+                bodies,
                 responseSummary);
     }
 
--- a/node/src/main/java/fawnlb/messages/RequestRejectedException.java
+++ b/node/src/main/java/fawnlb/messages/RequestRejectedException.java
@@ -1,6 +1,9 @@
 package fawnlb.messages;
 
+import fawnlb.http.ResourceExhaustedException;
+import fawnlb.metrics.RejectionReason;
 import io.undertow.util.StatusCodes;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A request can't be admitted. The client gets the status and the message, and perhaps a time after which it may retry.
@@ -27,6 +30,23 @@
                 StatusCodes.TOO_MANY_REQUESTS, "the team's budget is used up", retryAfterNanos);
     }
 
+    static RequestRejectedException resourceExhausted(ResourceExhaustedException cause) {
+        return new RequestRejectedException(
+                StatusCodes.SERVICE_UNAVAILABLE,
+                cause.getMessage(),
+                TimeUnit.SECONDS.toNanos(cause.retryAfterSeconds()));
+    }
+
+    /** Returns the reason for the metrics. */
+    RejectionReason reason() {
+        return switch (status) {
+            case StatusCodes.CONFLICT -> RejectionReason.DUPLICATE_ID;
+            case StatusCodes.TOO_MANY_REQUESTS -> RejectionReason.BUDGET;
+            case StatusCodes.SERVICE_UNAVAILABLE -> RejectionReason.BODY_MEMORY;
+            default -> RejectionReason.INVALID;
+        };
+    }
+
     int status() {
         return status;
     }
--- a/node/src/main/java/fawnlb/metrics/Metric.java
+++ b/node/src/main/java/fawnlb/metrics/Metric.java
@@ -1,8 +1,8 @@
 package fawnlb.metrics;
 
 /**
- * The registry of everything that the process counts: each metric's series, type, label and meaning. The operators'
- * page {@code docs/operations/on-call.md} has the same table; a test compares the two.
+ * The registry of everything that the process counts and measures: each metric's series, type, label and meaning. The
+ * operators' page {@code docs/operations/on-call.md} has the same table; a test compares the two.
  *
  * <p>The names of series and labels are read by dashboards and alerts: a new name needs the old series beside it for
  * one release.
@@ -18,6 +18,26 @@
             "fawnlb_client_connections_closed_total",
             "reason",
             "Client connections that the load balancer closed, by why"),
+    REQUESTS_REJECTED(
+            "fawnlb_requests_rejected_total",
+            "reason",
+            "Requests that were rejected before the load balancer decided on them, by why"),
+    MEMORY_REFUSALS(
+            "fawnlb_memory_refusals_total", "use", "Reservations of memory that were refused, by what they were for"),
+    MEMORY_RECLAIMS(
+            "fawnlb_memory_reclaims_total",
+            "use",
+            "Requests and connections that were ended to make room in memory, by what needed the room"),
+    MEMORY_RESERVED(
+            "fawnlb_memory_reserved_bytes",
+            Type.GAUGE,
+            "use",
+            "Bytes of the heap that are reserved for clients and servers, by what they are for"),
+    HEAP(
+            "fawnlb_heap_bytes",
+            Type.GAUGE,
+            "kind",
+            "The heap: what may be reserved, what is used with garbage, and its largest size"),
     ACCEPT_FAILURES("fawnlb_accept_failures_total", "kind", "Client connections that could not be accepted"),
     LOCAL_CONNECT_FAILURES(
             "fawnlb_local_connect_failures_total",
@@ -33,7 +53,9 @@
     /** How a metric behaves over time, in Prometheus' terms. */
     public enum Type {
         /** Only ever goes up, from 0 at the start of the process. */
-        COUNTER
+        COUNTER,
+        /** Goes up and down. */
+        GAUGE
     }
 
     private final String seriesName;
@@ -42,8 +64,12 @@
     private final String help;
 
     Metric(String seriesName, String labelName, String help) {
+        this(seriesName, Type.COUNTER, labelName, help);
+    }
+
+    Metric(String seriesName, Type type, String labelName, String help) {
         this.seriesName = seriesName;
-        this.type = Type.COUNTER;
+        this.type = type;
         this.labelName = labelName;
         this.help = help;
     }
@@ -63,7 +89,7 @@
         return labelName;
     }
 
-    /** What is counted, in one sentence. */
+    /** What is counted or measured, in one sentence. */
     public String help() {
         return help;
     }
--- a/node/src/main/java/fawnlb/metrics/Metrics.java
+++ b/node/src/main/java/fawnlb/metrics/Metrics.java
@@ -5,8 +5,12 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongSupplier;
 
-/** The counters of this process, one for each {@link Metric} and value of its label. Safe for all threads. */
+/**
+ * The counters and gauges of this process, one for each {@link Metric} and value of its label. Safe for all threads,
+ * but for the values of gauges, which are read on the thread that asks for the text.
+ */
 public final class Metrics {
     private record Series(Metric metric, String labelValue) {
         String prometheusName() {
@@ -19,6 +23,7 @@
     }
 
     private static final Map<Series, LongAdder> COUNTERS = new ConcurrentHashMap<>();
+    private static final Map<Series, LongSupplier> GAUGES = new ConcurrentHashMap<>();
 
     private Metrics() {}
 
@@ -32,6 +37,11 @@
                 .increment();
     }
 
+    /** Adds a gauge, in place of one with the same metric and label. */
+    public static void registerGauge(Metric metric, String labelValue, LongSupplier value) {
+        GAUGES.put(new Series(metric, labelValue), value);
+    }
+
     /** Returns one counter, 0 if it was never incremented. */
     public static long value(Metric metric, String labelValue) {
         LongAdder counter = COUNTERS.get(new Series(metric, labelValue));
@@ -46,10 +56,11 @@
                 .sum();
     }
 
-    /** Returns all counters in Prometheus' text format, sorted by series, without help and type lines. */
+    /** Returns all series in Prometheus' text format, sorted by name, without help and type lines. */
     public static String toPrometheusText() {
         Map<String, Long> valuesByName = new TreeMap<>();
         COUNTERS.forEach((series, counter) -> valuesByName.put(series.prometheusName(), counter.sum()));
+        GAUGES.forEach((series, value) -> valuesByName.put(series.prometheusName(), value.getAsLong()));
         StringBuilder text = new StringBuilder();
         valuesByName.forEach(
                 (name, value) -> text.append(name).append(' ').append(value).append('\n'));
--- a/node/src/main/java/fawnlb/platform/PlatformHandler.java
+++ b/node/src/main/java/fawnlb/platform/PlatformHandler.java
@@ -5,8 +5,11 @@
 import fawnlb.client.InFlightRequestIds;
 import fawnlb.client.RequestForwarder;
 import fawnlb.decision.LoadBalancerSettings;
+import fawnlb.http.BodyReference;
 import fawnlb.http.InvalidRequestException;
 import fawnlb.http.RequestBodyReader;
+import fawnlb.http.ResourceExhaustedException;
+import fawnlb.metrics.RejectionReason;
 import fawnlb.proxy.IncomingRequest;
 import fawnlb.proxy.RequestProxy;
 import io.undertow.server.HttpHandler;
@@ -42,7 +45,7 @@
         this.forwarder = new RequestForwarder(requestProxy);
         this.bodyReader = bodyReader;
         this.inFlightIds = inFlightIds;
-        this.requestReader = new PlatformRequestReader(settings, bodyPolicy);
+        this.requestReader = new PlatformRequestReader(settings, bodyReader, bodyPolicy);
         this.readiness = readiness;
     }
 
@@ -69,20 +72,27 @@
         }
     }
 
-    private void handleBody(HttpServerExchange exchange, byte[] body) {
+    private void handleBody(HttpServerExchange exchange, BodyReference body) {
         OutboundRequest.ResponseSummary responseSummary = OutboundRequest.ResponseSummary.withoutUsage();
-        String requestId;
+        String requestId = null;
         IncomingRequest request;
         try {
             requestId = requestReader.readRequestId(exchange);
             request = requestReader.read(exchange, requestId, body, responseSummary);
         } catch (InvalidRequestException e) {
+            RejectionReason.INVALID.record(requestId);
             sendText(exchange, e.status(), e.getMessage());
             return;
+        } catch (ResourceExhaustedException e) {
+            RejectionReason.BODY_MEMORY.record(requestId);
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, e.retryAfterSeconds());
+            sendText(exchange, StatusCodes.SERVICE_UNAVAILABLE, e.getMessage());
+            return;
         }
         if (inFlightIds.tryRegister(requestId, exchange)) {
             forwarder.forward(exchange, request, new PlatformResponseFormatter(responseSummary));
         } else {
+            RejectionReason.DUPLICATE_ID.record(requestId);
             sendText(exchange, StatusCodes.CONFLICT, "X-Request-Id is that of an open request");
         }
     }
--- a/node/src/main/java/fawnlb/platform/PlatformRequestReader.java
+++ b/node/src/main/java/fawnlb/platform/PlatformRequestReader.java
@@ -1,9 +1,13 @@
 package fawnlb.platform;
 
 import fawnlb.backend.OutboundRequest;
+import fawnlb.backend.RequestBodies;
 import fawnlb.decision.LoadBalancerSettings;
+import fawnlb.http.BodyReference;
 import fawnlb.http.InvalidRequestException;
+import fawnlb.http.RequestBodyReader;
 import fawnlb.http.RequestHeadValidator;
+import fawnlb.http.ResourceExhaustedException;
 import fawnlb.proxy.IncomingRequest;
 import fawnlb.translation.CompletionRequest;
 import fawnlb.translation.Dialect;
@@ -15,10 +19,12 @@
     private static final String REQUEST_ID = "X-Request-Id";
 
     private final RequestHeaderParser headerParser;
+    private final RequestBodyReader bodyReader;
     private final BodyPolicy bodyPolicy;
 
-    PlatformRequestReader(LoadBalancerSettings settings, BodyPolicy bodyPolicy) {
+    PlatformRequestReader(LoadBalancerSettings settings, RequestBodyReader bodyReader, BodyPolicy bodyPolicy) {
         this.headerParser = new RequestHeaderParser(settings);
+        this.bodyReader = bodyReader;
         this.bodyPolicy = bodyPolicy;
     }
 
@@ -41,32 +47,38 @@
      *
      * @param responseSummary is filled in when the response comes
      * @throws InvalidRequestException if headers or body are invalid; its message tells the client what is wrong
+     * @throws ResourceExhaustedException if there is no room for the translated body
      */
     IncomingRequest read(
-            HttpServerExchange exchange, String requestId, byte[] body, OutboundRequest.ResponseSummary responseSummary)
-            throws InvalidRequestException {
-        if (body.length == 0) {
+            HttpServerExchange exchange,
+            String requestId,
+            BodyReference body,
+            OutboundRequest.ResponseSummary responseSummary)
+            throws InvalidRequestException, ResourceExhaustedException {
+        if (body.bytes().length == 0) {
             throw new InvalidRequestException(
                     StatusCodes.BAD_REQUEST, InvalidRequestException.BODY, "the request has no body");
         }
-        byte[] translatedBody = translate(body);
+        RequestBodies bodies = new RequestBodies(Dialect.CHAT, body, translate(exchange, body.bytes()));
         OutboundRequest outbound = new OutboundRequest(
                 Dialect.CHAT,
                 pathWithQuery(exchange),
                 requestId,
                 RequestHeadValidator.singleHeader(exchange, OutboundRequest.IDEMPOTENCY_KEY),
                 true,
-                body,
-                translatedBody,
+                bodies,
                 responseSummary);
         return headerParser.parse(name -> RequestHeadValidator.singleHeader(exchange, name), outbound);
     }
 
     /** Returns the body in the other dialect, or null if no backend speaks it. */
-    private byte[] translate(byte[] body) throws InvalidRequestException {
+    private BodyReference translate(HttpServerExchange exchange, byte[] body)
+            throws InvalidRequestException, ResourceExhaustedException {
         return switch (bodyPolicy) {
             case FORWARD_UNREAD -> null;
-            case TRANSLATE -> CompletionRequest.decode(Dialect.CHAT, body).encode(Dialect.MESSAGES);
+            case TRANSLATE ->
+                bodyReader.keep(
+                        exchange, CompletionRequest.decode(Dialect.CHAT, body).encode(Dialect.MESSAGES));
         };
     }
 
--- a/node/src/main/java/fawnlb/proxy/IncomingRequest.java
+++ b/node/src/main/java/fawnlb/proxy/IncomingRequest.java
@@ -31,5 +31,8 @@
     public interface RequestPayload {
         /** The id that the client gave the request, for log lines. */
         String requestId();
+
+        /** No further attempt will be made, so what only attempts need can be dropped. May be called repeatedly. */
+        default void release() {}
     }
 }
--- a/node/src/main/java/fawnlb/proxy/ProxiedRequest.java
+++ b/node/src/main/java/fawnlb/proxy/ProxiedRequest.java
@@ -125,6 +125,7 @@
         move(RequestEvent.RESPONSE_STARTED);
         activeAttempt.cancelResponseTimer();
         cancelFinalDeadlineTimer();
+        releasePayload();
     }
 
     /** Records the end of the active attempt. */
@@ -142,6 +143,14 @@
     void close() {
         move(RequestEvent.CLOSED);
         cancelFinalDeadlineTimer();
+        releasePayload();
+    }
+
+    /** The request has its final answer, so no further attempt will be made. */
+    private void releasePayload() {
+        if (incoming.payload() != null) {
+            incoming.payload().release();
+        }
     }
 
     void stopAttempt(EndReason reason) {
@@ -160,7 +169,8 @@
         return "request " + (clientRequestId() == null ? "" : clientRequestId()) + " (sequence " + id + ')';
     }
 
-    private String clientRequestId() {
+    /** The id that the client gave the request, null if it is not known. */
+    String clientRequestId() {
         return incoming.payload() == null ? null : incoming.payload().requestId();
     }
 
--- a/node/src/main/java/fawnlb/proxy/RequestProxy.java
+++ b/node/src/main/java/fawnlb/proxy/RequestProxy.java
@@ -6,6 +6,7 @@
 import fawnlb.eventloop.Mailbox;
 import fawnlb.eventloop.ThreadSafe;
 import fawnlb.eventloop.Timers;
+import fawnlb.metrics.RejectionReason;
 import fawnlb.stream.EndReason;
 import java.util.logging.Logger;
 
@@ -92,10 +93,25 @@
     @EventLoopOnly
     public RequestHandle submit(IncomingRequest incoming, ClientConnection client) {
         ProxiedRequest request = new ProxiedRequest(incoming, client, deadline(incoming, client));
-        boolean accepted = !admissionStopped
-                && openRequests.size() < context.settings().limits().maxInFlightRequests()
-                && mailbox.tell(() -> admit(request), () -> answers.fail(request));
-        return accepted ? () -> mailbox.tellAlways(() -> onClientDisconnected(request)) : null;
+        RejectionReason obstacle = findObstacle();
+        if (obstacle == null && !mailbox.tell(() -> admit(request), () -> answers.fail(request))) {
+            obstacle = RejectionReason.MAILBOX_FULL;
+        }
+        if (obstacle != null) {
+            obstacle.record(request.clientRequestId());
+            return null;
+        }
+        return () -> mailbox.tellAlways(() -> onClientDisconnected(request));
+    }
+
+    /** Returns why no request is accepted now, null if one is. */
+    private RejectionReason findObstacle() {
+        if (admissionStopped) {
+            return RejectionReason.SHUTDOWN;
+        }
+        return openRequests.size() < context.settings().limits().maxInFlightRequests()
+                ? null
+                : RejectionReason.OPEN_REQUESTS;
     }
 
     /**
--- a/node/src/main/java/fawnlb/server/EndpointPublisher.java
+++ b/node/src/main/java/fawnlb/server/EndpointPublisher.java
@@ -8,6 +8,7 @@
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.discovery.DiscoveryListener;
 import fawnlb.discovery.EndpointList;
+import fawnlb.discovery.EndpointListFormatException;
 import fawnlb.discovery.EndpointStartTimes;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
@@ -32,6 +33,7 @@
     private final BackendPool backends;
     private final Timers timers;
     private final ReadinessGate readiness;
+    private final EndpointMemory memory;
     private final EndpointStartTimes startTimes = new EndpointStartTimes();
     private RequestProxy requestProxy;
     private SnapshotRecorder snapshotRecorder;
@@ -41,19 +43,22 @@
      *
      * @param names the names of zones and kinds in the settings
      * @param messagesApiKinds the kinds of endpoints that offer the messages API
+     * @param memory limits how many endpoints there may be
      */
     EndpointPublisher(
             LoadBalancerSettings.Names names,
             Set<String> messagesApiKinds,
             BackendPool backends,
             Timers timers,
-            ReadinessGate readiness) {
+            ReadinessGate readiness,
+            EndpointMemory memory) {
         this.zones = new NameNumbers("locality", names::zoneIndex, names.zones().size());
         this.kinds = new NameNumbers("flavor", names::kindIndex, names.kinds().size());
         this.messagesApiKinds = messagesApiKinds;
         this.backends = backends;
         this.timers = timers;
         this.readiness = readiness;
+        this.memory = memory;
     }
 
     /**
@@ -67,6 +72,11 @@
         snapshotRecorder = recorder;
     }
 
+    @Override
+    public void checkRoom(EndpointList list) throws EndpointListFormatException {
+        memory.checkRoom(list, backends::contains, backends.size());
+    }
+
     @Override
     public void onDiscoveryUpdate(EndpointUpdateKind kind, EndpointList list) {
         if (snapshotRecorder != null) {
@@ -75,6 +85,7 @@
         if (list != null) {
             recordStartTimes(kind, list);
             updateBackends(list);
+            memory.reserve(backends.size());
         }
         requestProxy.onEndpointsUpdated(toEndpointsUpdated(kind, list));
         readiness.onDiscoveryUpdate(kind);
--- a/node/src/main/java/fawnlb/server/HttpListeners.java
+++ b/node/src/main/java/fawnlb/server/HttpListeners.java
@@ -4,6 +4,7 @@
 import fawnlb.client.ClientRequestHandler;
 import fawnlb.client.Listener;
 import fawnlb.client.ListenerGroup;
+import fawnlb.http.RequestHeadValidator;
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
@@ -19,18 +20,11 @@
 final class HttpListeners {
     private static final int IO_BUFFER_BYTES = 8192;
     private static final int MAX_POOLED_BUFFERS = 256;
-    /**
-     * A head of 62 headers was measured to hold 22 KB of the heap while it is read, and 30 KB with a limit of 16 KiB.
-     * 635 clients, as many as 1,024 descriptors leave, hold 14 MB with such heads at a time.
-     */
     private static final int MAX_REQUEST_HEAD_BYTES = 8 * 1024;
 
     private static final int MAX_REQUEST_HEADERS = 64;
-    /**
-     * Undertow keeps each parameter of the query and of the path in a collection of its own, 150 bytes of the heap
-     * each.
-     */
-    private static final int MAX_REQUEST_PARAMETERS = 64;
+    /** The cache would keep the values of a connection's last headers for as long as it is open. */
+    private static final int CACHED_HEADERS = 0;
 
     private static final int LISTEN_BACKLOG_CONNECTIONS = 1000;
     /**
@@ -74,7 +68,8 @@
                 OptionMap.builder()
                         .set(UndertowOptions.MAX_HEADER_SIZE, MAX_REQUEST_HEAD_BYTES)
                         .set(UndertowOptions.MAX_HEADERS, MAX_REQUEST_HEADERS)
-                        .set(UndertowOptions.MAX_PARAMETERS, MAX_REQUEST_PARAMETERS)
+                        .set(UndertowOptions.MAX_PARAMETERS, RequestHeadValidator.MAX_PARAMETERS)
+                        .set(UndertowOptions.HTTP_HEADERS_CACHE_SIZE, CACHED_HEADERS)
                         .getMap());
         httpListener.setRootHandler(new ClientRequestHandler(connections, handler));
         return httpListener;
--- a/node/src/main/java/fawnlb/server/Server.java
+++ b/node/src/main/java/fawnlb/server/Server.java
@@ -3,7 +3,6 @@
 import fawnlb.admin.AdminHandler;
 import fawnlb.backend.BackendPool;
 import fawnlb.client.ClientConnectionTracker;
-import fawnlb.client.InFlightRequestIds;
 import fawnlb.config.MessagesConfiguration;
 import fawnlb.config.ServerConfiguration;
 import fawnlb.config.StartupConfiguration;
@@ -13,11 +12,9 @@
 import fawnlb.filter.EndpointFilter;
 import fawnlb.filter.EndpointFilterChain;
 import fawnlb.http.RequestBodyReader;
-import fawnlb.messages.BrokerHandler;
-import fawnlb.messages.RequestLog;
+import fawnlb.memory.MemoryBudget;
+import fawnlb.memory.MemoryPlan;
 import fawnlb.metrics.LogLine;
-import fawnlb.platform.BodyPolicy;
-import fawnlb.platform.PlatformHandler;
 import fawnlb.policy.BoundedLoadBalancer;
 import fawnlb.proxy.ProxyContext;
 import fawnlb.proxy.RequestProxy;
@@ -25,8 +22,6 @@
 import fawnlb.snapshot.SnapshotRecorder;
 import fawnlb.snapshot.SnapshotStore;
 import fawnlb.stream.StreamRegistry;
-import fawnlb.syslog.SyslogFormatter;
-import fawnlb.syslog.SyslogSender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -53,19 +48,11 @@
     /** The platform allows to close a connection without a request after 2 s, and demands it within 3 s. */
     private static final long CLIENT_IDLE_TIMEOUT_NANOS = 2300 * NANOS_PER_MILLI;
 
-    private static final long BODY_SHARE_OF_HEAP_DIVISOR = 4;
-    /**
-     * What all buffered bodies of requests may hold together: a quarter of the heap at most, since heads, streams and
-     * what lives for good need the rest.
-     */
-    private static final long MAX_BUFFERED_BODY_BYTES =
-            Math.min(16L << 20, Runtime.getRuntime().maxMemory() / BODY_SHARE_OF_HEAP_DIVISOR);
-
     private final ServerConfiguration configuration;
     private final MessagesConfiguration messages;
     private final StartupConfiguration startup;
     private final StreamConfiguration streaming;
-    private final DescriptorBudget descriptors;
+    private final MemoryPlan memoryPlan;
     private final StartupRetry startupRetry = new StartupRetry(() -> this.shutdownRequested);
     private volatile boolean shutdownRequested;
     private EventLoop eventLoop;
@@ -73,8 +60,7 @@
     private HttpListeners listeners;
     private RequestProxy requestProxy;
     private DiscoveryClient discovery;
-    private InetSocketAddress platformAddress;
-    private InetSocketAddress messagesAddress;
+    private Fronts fronts;
     private InetSocketAddress adminAddress;
     /** Null until the server has started. */
     private GracefulShutdown gracefulShutdown;
@@ -93,7 +79,11 @@
         this.messages = messages;
         this.startup = startup;
         this.streaming = streaming;
-        this.descriptors = new DescriptorBudget(configuration.maxDescriptors());
+        DescriptorBudget descriptors = new DescriptorBudget(configuration.maxDescriptors());
+        this.memoryPlan = MemoryPlan.divide(
+                Runtime.getRuntime().maxMemory(),
+                descriptors.maxClientConnections(),
+                descriptors.maxBackendConnections());
     }
 
     /**
@@ -104,30 +94,42 @@
      */
     public synchronized void start() throws IOException {
         eventLoop = startupRetry.run("I/O thread", EventLoop::start);
-        connections = createConnectionTracker();
+        MemoryBudget memory = createMemoryBudget();
+        RequestBodyReader bodyReader = new RequestBodyReader(memory, eventLoop.timers());
+        connections = createConnectionTracker(memory, bodyReader);
         listeners = new HttpListeners(eventLoop, connections, startupRetry);
-        StreamRegistry streams = new StreamRegistry(streaming.timeouts());
+        StreamRegistry streams = new StreamRegistry(streaming.timeouts(), memory);
         BackendPool backends = createBackendPool(streams);
         RestoredEndpoints restored = RestoredEndpoints.read(
                 startup, configuration.initialEndpoints(), eventLoop.timers().now());
         // The gate's wait for discovery starts here: the time in which the snapshot was read is no part of it.
         ReadinessGate readiness = new ReadinessGate(eventLoop.timers());
-        startRequestProxy(backends, restored, readiness);
-        openListeners(readiness);
+        startRequestProxy(backends, restored, readiness, memory);
+        fronts = new Fronts(configuration, messages, eventLoop, listeners, bodyReader);
+        fronts.open(requestProxy, readiness, connections.maxAcceptedConnections());
         openAdminListener(new AdminHandler(streams, backends::describeAddress));
         eventLoop.startWatchdog();
         gracefulShutdown = new GracefulShutdown(eventLoop, readiness, listeners, connections, requestProxy);
         LOG.info(LogLine.event("server listening")
                 .with("name", configuration.name())
-                .with("platform_address", platformAddress.toString())
-                .with("messages_address", messagesAddress == null ? null : messagesAddress.toString())
+                .with("platform_address", platformAddress().toString())
+                .with(
+                        "messages_address",
+                        messagesAddress() == null ? null : messagesAddress().toString())
                 .toString());
     }
 
-    private ClientConnectionTracker createConnectionTracker() {
+    private MemoryBudget createMemoryBudget() {
+        MemoryMonitor monitor = new MemoryMonitor(eventLoop.timers());
+        MemoryBudget memory = new MemoryBudget(memoryPlan.capacityBytes(), memoryPlan.responseBytes(), monitor);
+        monitor.publish(memory, memoryPlan, configuration.memoryLimitMegabytes());
+        return memory;
+    }
+
+    private ClientConnectionTracker createConnectionTracker(MemoryBudget memory, RequestBodyReader bodyReader) {
         ClientConnectionTracker.Limits limits = new ClientConnectionTracker.Limits(
-                descriptors.maxClientConnections(), CLIENT_IDLE_TIMEOUT_NANOS, REQUEST_HEAD_TIMEOUT_NANOS);
-        return new ClientConnectionTracker(limits, eventLoop.timers());
+                memoryPlan.maxClientConnections(), CLIENT_IDLE_TIMEOUT_NANOS, REQUEST_HEAD_TIMEOUT_NANOS);
+        return new ClientConnectionTracker(limits, eventLoop.timers(), memory, bodyReader::rejectSlowest);
     }
 
     private BackendPool createBackendPool(StreamRegistry streams) {
@@ -137,17 +139,23 @@
                 settings.connectionTimeouts().idleTimeoutNanos(),
                 CONNECTION_REUSE_DELAY_NANOS,
                 HEALTH_CHECK_TIMEOUT_NANOS,
-                descriptors.maxBackendConnections(),
+                memoryPlan.maxBackendConnections(),
                 settings.loadReportFields());
         return new BackendPool(eventLoop.thread(), eventLoop.timers(), limits, streams);
     }
 
     /** Starts the proxy and, with the endpoints that are already known, discovery. */
-    private void startRequestProxy(BackendPool backends, RestoredEndpoints restored, ReadinessGate readiness) {
+    private void startRequestProxy(
+            BackendPool backends, RestoredEndpoints restored, ReadinessGate readiness, MemoryBudget memory) {
         SnapshotRecorder recorder = createSnapshotRecorder(restored);
         List<EndpointFilter> filters = createEndpointFilters(recorder, restored);
         EndpointPublisher publisher = new EndpointPublisher(
-                configuration.settings().names(), messagesApiKinds(), backends, eventLoop.timers(), readiness);
+                configuration.settings().names(),
+                messages == null ? Set.of() : messages.messagesApiKinds(),
+                backends,
+                eventLoop.timers(),
+                readiness,
+                new EndpointMemory(memory, memoryPlan.maxEndpoints()));
         discovery = new DiscoveryClient(
                 eventLoop.thread(),
                 eventLoop.timers(),
@@ -199,51 +207,6 @@
         return filters;
     }
 
-    private void openListeners(ReadinessGate readiness) throws IOException {
-        RequestBodyReader bodyReader = new RequestBodyReader(MAX_BUFFERED_BODY_BYTES);
-        InFlightRequestIds requestIds = new InFlightRequestIds();
-        int listenerCount = messages == null ? 1 : 2;
-        int maxConnections = connections.maxAcceptedConnections() / listenerCount;
-        PlatformHandler platform = new PlatformHandler(
-                requestProxy,
-                bodyReader,
-                requestIds,
-                configuration.settings(),
-                messagesApiKinds().isEmpty() ? BodyPolicy.FORWARD_UNREAD : BodyPolicy.TRANSLATE,
-                readiness::readiness);
-        platformAddress = listeners.open(configuration.listenAddress(), platform, maxConnections);
-        if (messages != null) {
-            BrokerHandler broker = new BrokerHandler(
-                    requestProxy,
-                    bodyReader,
-                    requestIds,
-                    configuration.settings(),
-                    messages.contracts(),
-                    eventLoop.timers(),
-                    createRequestLog());
-            messagesAddress = listeners.open(messages.listenAddress(), broker, maxConnections);
-        }
-    }
-
-    private RequestLog createRequestLog() throws IOException {
-        MessagesConfiguration.SyslogConfiguration syslog = messages.syslog();
-        if (syslog == null) {
-            return RequestLog.disabled();
-        }
-        SyslogFormatter formatter = new SyslogFormatter(
-                syslog.facility(),
-                configuration.listenAddress().getHostString(),
-                "fawnlb",
-                Long.toString(ProcessHandle.current().pid()));
-        SyslogSender sender = new SyslogSender(
-                eventLoop.thread(),
-                eventLoop.timers(),
-                eventLoop.newMailbox(),
-                syslog.collectorAddress(),
-                syslog.isTcp());
-        return new RequestLog(formatter, sender);
-    }
-
     private void openAdminListener(AdminHandler admin) throws IOException {
         if (streaming.adminAddress() != null) {
             adminAddress = listeners.open(streaming.adminAddress(), admin, DescriptorBudget.MAX_ADMIN_CONNECTIONS);
@@ -253,18 +216,14 @@
         }
     }
 
-    private Set<String> messagesApiKinds() {
-        return messages == null ? Set.of() : messages.messagesApiKinds();
-    }
-
     /** The address at which the platform's API listens. */
     InetSocketAddress platformAddress() {
-        return platformAddress;
+        return fronts.platformAddress();
     }
 
     /** The address at which the messages API listens, null if the server does not offer it. */
     InetSocketAddress messagesAddress() {
-        return messagesAddress;
+        return fronts.messagesAddress();
     }
 
     /** The address of the admin listener, null if there is none. */
--- a/node/src/main/java/fawnlb/stream/ResponseStream.java
+++ b/node/src/main/java/fawnlb/stream/ResponseStream.java
@@ -1,5 +1,7 @@
 package fawnlb.stream;
 
+import fawnlb.memory.MemoryReservation;
+
 /**
  * One attempt and the stream of its response, from the attempt's start until both the backend's and the client's side
  * have ended.
@@ -30,6 +32,7 @@
     private final long backendId;
     private final StreamRegistry.Owner owner;
     private final SilenceDetector silence;
+    private final MemoryReservation memory;
     private StreamState state = StreamState.AWAITING_HEAD;
     private ResponseProgress progress = ResponseProgress.BEFORE_HEAD;
     private AttemptEnd attemptEnd;
@@ -48,6 +51,7 @@
         this.registry = registry;
         this.backendId = parameters.backendId();
         this.owner = owner;
+        this.memory = registry.openReservation();
         this.silence = new SilenceDetector(registry, parameters, nowNanos);
     }
 
@@ -119,6 +123,14 @@
         recheckAtNanos = 0;
     }
 
+    /**
+     * Sets how much of the heap the bytes that are not yet with the client hold, their copies and the unused parts of
+     * their buffers included. To be called before the report of these bytes; it is 0 again when the client has all.
+     */
+    public void setHeapBytes(long heapBytes) {
+        memory.resize(heapBytes);
+    }
+
     /** Sets how many bytes wait to be relayed, until an event or the whole response is there. May evict streams. */
     public void setBufferedBytes(long bytes) {
         changeBufferedBytes(bytes - bufferedBytes);
@@ -128,6 +140,11 @@
         }
     }
 
+    private void dropBufferedBytes() {
+        changeBufferedBytes(-bufferedBytes);
+        memory.release();
+    }
+
     private void changeBufferedBytes(long change) {
         bufferedBytes += change;
         registry.changeBufferedBytes(this, change);
@@ -169,7 +186,7 @@
         isClientBehind = false;
         isAwaitingBackend = attemptEnd == null;
         registry.bufferLimit().onClientCaughtUp(this);
-        changeBufferedBytes(-bufferedBytes);
+        dropBufferedBytes();
         apply(StreamEvent.CLIENT_CAUGHT_UP);
     }
 
@@ -189,14 +206,14 @@
     /** The client's side has ended: it has all, or its connection is closed. */
     public void close() {
         registry.bufferLimit().onClientCaughtUp(this);
-        changeBufferedBytes(-bufferedBytes);
+        dropBufferedBytes();
         apply(StreamEvent.CLIENT_CLOSED);
     }
 
     /** Ends the stream because too many bytes are buffered. */
     void evict() {
         // The bytes go with the client's connection in a moment; counted until then, they would evict another stream.
-        changeBufferedBytes(-bufferedBytes);
+        dropBufferedBytes();
         abandon(EndReason.BUFFER_LIMIT_REACHED, StreamEvent.BACKEND_ENDED);
     }
 
--- a/node/src/main/java/fawnlb/stream/StreamRegistry.java
+++ b/node/src/main/java/fawnlb/stream/StreamRegistry.java
@@ -1,5 +1,8 @@
 package fawnlb.stream;
 
+import fawnlb.memory.MemoryBudget;
+import fawnlb.memory.MemoryReservation;
+import fawnlb.memory.MemoryUse;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -19,6 +22,7 @@
 
     private final StreamTimeouts timeouts;
     private final LatencyBaseline latencyBaseline = new LatencyBaseline();
+    private final MemoryBudget memory;
     private final BufferLimit bufferLimit;
     private final Map<Long, BackendStreams> backends = new HashMap<>();
     private int activeBackends;
@@ -36,10 +40,15 @@
         void onClientStalled();
     }
 
-    /** Creates a registry without streams. */
-    public StreamRegistry(StreamTimeouts timeouts) {
+    /**
+     * Creates a registry without streams.
+     *
+     * @param memory in which the memory of all streams is reserved
+     */
+    public StreamRegistry(StreamTimeouts timeouts, MemoryBudget memory) {
         this.timeouts = timeouts;
-        this.bufferLimit = new BufferLimit(timeouts.maxBufferedBytes());
+        this.memory = memory;
+        this.bufferLimit = new BufferLimit(timeouts.maxBufferedBytes(), memory);
     }
 
     // ---- For the exchanges ---------------------------------------------------------------------------------
@@ -78,6 +87,10 @@
         return latencyBaseline;
     }
 
+    MemoryReservation openReservation() {
+        return memory.open(MemoryUse.RESPONSES);
+    }
+
     BufferLimit bufferLimit() {
         return bufferLimit;
     }
--- a/node/src/main/java/fawnlb/translation/BodyTranslator.java
+++ b/node/src/main/java/fawnlb/translation/BodyTranslator.java
@@ -32,4 +32,9 @@
     public int bufferedBytes() {
         return body.size();
     }
+
+    @Override
+    public long heapBytes() {
+        return body.heapBytes();
+    }
 }
--- a/node/src/main/java/fawnlb/translation/ErrorTranslator.java
+++ b/node/src/main/java/fawnlb/translation/ErrorTranslator.java
@@ -42,4 +42,9 @@
     public int bufferedBytes() {
         return body.size();
     }
+
+    @Override
+    public long heapBytes() {
+        return body.heapBytes();
+    }
 }
--- a/node/src/main/java/fawnlb/translation/FirstEventBuffer.java
+++ b/node/src/main/java/fawnlb/translation/FirstEventBuffer.java
@@ -8,7 +8,10 @@
  * the client nothing, so that the request can be retried on another backend.
  */
 public final class FirstEventBuffer {
-    private final SseParser parser = new SseParser();
+    /** A growing buffer may be twice as large as its content. */
+    private static final int MAX_BUFFER_GROWTH = 2;
+
+    private final EventEndDetector eventEnd = new EventEndDetector();
     /** The bytes that are withheld; null after their release. */
     private ByteArrayOutputStream pending = new ByteArrayOutputStream(0);
 
@@ -17,7 +20,7 @@
      *
      * @return what may be forwarded: nothing before the first event is complete, then all bytes so far, then the bytes
      *     as given
-     * @throws MalformedResponseException if the first event exceeds the size limit for events
+     * @throws MalformedResponseBodyException if the first event exceeds the size limit for events
      */
     public ByteBuffer feed(ByteBuffer bytes) throws MalformedResponseBodyException {
         if (pending == null) {
@@ -26,13 +29,11 @@
         if (pending.size() + bytes.remaining() > SseParser.MAX_EVENT_BYTES) {
             throw new MalformedResponseBodyException("no event in " + SseParser.MAX_EVENT_BYTES + " bytes");
         }
+        boolean isComplete = eventEnd.endsWithin(bytes);
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
         pending.writeBytes(copy);
-        if (parser.feed(ByteBuffer.wrap(copy)).isEmpty()) {
-            return ByteBuffer.allocate(0);
-        }
-        return release();
+        return isComplete ? release() : ByteBuffer.allocate(0);
     }
 
     /** Returns the withheld bytes and withholds no more, for a caller that can't wait for the event's end. */
@@ -46,4 +47,9 @@
     public int bufferedBytes() {
         return pending == null ? 0 : pending.size();
     }
+
+    /** Returns the heap that the withheld bytes hold, at the most. */
+    public long heapBytes() {
+        return (long) MAX_BUFFER_GROWTH * bufferedBytes();
+    }
 }
--- a/node/src/main/java/fawnlb/translation/ResponseBody.java
+++ b/node/src/main/java/fawnlb/translation/ResponseBody.java
@@ -6,6 +6,8 @@
 /** Collects a response that can be translated only as a whole. */
 final class ResponseBody {
     private static final int MAX_BYTES = 1 << 20;
+    /** A growing buffer may be twice as large as its content. */
+    private static final int MAX_BUFFER_GROWTH = 2;
 
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
 
@@ -25,4 +27,9 @@
     int size() {
         return collected.size();
     }
+
+    /** Returns the heap that the bytes hold, at the most. */
+    long heapBytes() {
+        return (long) MAX_BUFFER_GROWTH * collected.size();
+    }
 }
--- a/node/src/main/java/fawnlb/translation/ResponseTranslator.java
+++ b/node/src/main/java/fawnlb/translation/ResponseTranslator.java
@@ -53,6 +53,9 @@
     /** Returns the number of bytes that were taken and wait for the rest of their event or body. */
     public abstract int bufferedBytes();
 
+    /** Returns the heap that these bytes hold, at the most. */
+    public abstract long heapBytes();
+
     /** Counts what a delta reports. */
     final void recordDelta(ResponseDelta delta) {
         if (delta instanceof ResponseDelta.Unrecognized) {
--- a/node/src/main/java/fawnlb/translation/SseParser.java
+++ b/node/src/main/java/fawnlb/translation/SseParser.java
@@ -13,6 +13,10 @@
 final class SseParser {
     /** The largest size of one event; it limits what a backend can make this process buffer. */
     static final int MAX_EVENT_BYTES = 256 * 1024;
+    /** A line's buffer may be twice as large as the line, and the data are kept as text, in a buffer that grows too. */
+    private static final int HEAP_BYTES_PER_BYTE = 4;
+    /** A longer line's buffer is dropped with the line. */
+    private static final int MAX_KEPT_BUFFER_BYTES = 4096;
 
     /**
      * A complete event.
@@ -22,7 +26,7 @@
      */
     record Event(String name, String data) {}
 
-    private final ByteArrayOutputStream currentLine = new ByteArrayOutputStream();
+    private ByteArrayOutputStream currentLine = new ByteArrayOutputStream();
     private boolean skipLineFeed;
     private String eventName = "";
     private StringBuilder eventData;
@@ -45,7 +49,7 @@
             }
             if (next == '\n' || next == '\r') {
                 processLine(currentLine.toString(StandardCharsets.UTF_8), completed);
-                currentLine.reset();
+                clearLine();
             } else {
                 addToLine(next);
             }
@@ -53,6 +57,14 @@
         return completed;
     }
 
+    private void clearLine() {
+        if (currentLine.size() > MAX_KEPT_BUFFER_BYTES) {
+            currentLine = new ByteArrayOutputStream();
+        } else {
+            currentLine.reset();
+        }
+    }
+
     private void addToLine(byte next) throws MalformedResponseBodyException {
         currentLine.write(next);
         if (++eventBytes > MAX_EVENT_BYTES) {
@@ -91,4 +103,9 @@
     int bufferedBytes() {
         return eventBytes;
     }
+
+    /** Returns the heap that these bytes hold, at the most. */
+    long heapBytes() {
+        return (long) HEAP_BYTES_PER_BYTE * eventBytes;
+    }
 }
--- a/node/src/main/java/fawnlb/translation/StreamTranslator.java
+++ b/node/src/main/java/fawnlb/translation/StreamTranslator.java
@@ -49,4 +49,9 @@
     public int bufferedBytes() {
         return parser.bufferedBytes();
     }
+
+    @Override
+    public long heapBytes() {
+        return parser.heapBytes();
+    }
 }
--- a/node/src/test/java/fawnlb/PackagesTest.java
+++ b/node/src/test/java/fawnlb/PackagesTest.java
@@ -32,7 +32,8 @@
             "fawnlb.membership",
             "fawnlb.filter",
             "fawnlb.restore",
-            "fawnlb.stream");
+            "fawnlb.stream",
+            "fawnlb.memory");
     private static final Set<String> PACKAGES_BELOW_PROXY =
             Set.of("fawnlb.decision", "fawnlb.eventloop", "fawnlb.stream", "fawnlb.metrics");
 
--- a/node/src/test/java/fawnlb/backend/BackendPoolHarness.java
+++ b/node/src/test/java/fawnlb/backend/BackendPoolHarness.java
@@ -4,6 +4,7 @@
 
 import fawnlb.decision.EndpointPhase;
 import fawnlb.eventloop.EventLoopTimers;
+import fawnlb.memory.MemoryBudget;
 import fawnlb.proxy.Backends;
 import fawnlb.proxy.IncomingRequest;
 import fawnlb.proxy.ResponseSource;
@@ -39,7 +40,7 @@
     private static final int MAX_SOCKETS = 50;
     private static final long WAIT_SECONDS = 10;
 
-    final StreamRegistry streams = new StreamRegistry(StreamTimeouts.defaults());
+    final StreamRegistry streams = new StreamRegistry(StreamTimeouts.defaults(), MemoryBudget.unlimited());
     final EventLoopTimers timers;
     /** Whether the client is still there; read and set on the event loop. */
     boolean isClientConnected = true;
@@ -84,8 +85,7 @@
                 requestId,
                 null,
                 true,
-                new byte[2],
-                null,
+                TestBodies.of(Dialect.CHAT, new byte[2], null),
                 OutboundRequest.ResponseSummary.withoutUsage());
         IncomingRequest request = new IncomingRequest(0, 0, 1, 0, SECOND_NANOS, 1, 0, 1, false, payload);
         pool.startAttempt(id, request, responseDeadlineNanos, sendDeadlineNanos, true, this);
--- a/node/src/test/java/fawnlb/backend/OutboundRequestTest.java
+++ b/node/src/test/java/fawnlb/backend/OutboundRequestTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.http.BodyReference;
 import fawnlb.proxy.IncomingRequest;
 import fawnlb.translation.Dialect;
 import java.nio.ByteBuffer;
@@ -20,14 +21,14 @@
                 "r1",
                 idempotencyKey,
                 true,
-                "{}".getBytes(StandardCharsets.UTF_8),
-                translatedBody,
+                TestBodies.of(Dialect.CHAT, "{}".getBytes(StandardCharsets.UTF_8), translatedBody),
                 OutboundRequest.ResponseSummary.withoutUsage());
     }
 
     private static String encode(OutboundRequest request, Dialect backendDialect) {
         StringBuilder text = new StringBuilder();
-        for (ByteBuffer part : request.encode(backendDialect, "10.0.0.7:8000", 3 * SECOND_NANOS / 2)) {
+        byte[] body = request.bodies().retain(backendDialect).bytes();
+        for (ByteBuffer part : request.encode(body, backendDialect, "10.0.0.7:8000", 3 * SECOND_NANOS / 2)) {
             text.append(StandardCharsets.ISO_8859_1.decode(part));
         }
         return text.toString();
@@ -66,8 +67,19 @@
 
     @Test
     public void requestWithoutTranslatedBodyCanBeSentInClientsDialectOnly() {
-        assertTrue(request(null, null).canBeSentAs(Dialect.CHAT));
-        assertFalse(request(null, null).canBeSentAs(Dialect.MESSAGES));
-        assertTrue(request(null, new byte[2]).canBeSentAs(Dialect.MESSAGES));
+        assertTrue(request(null, null).bodies().isAvailableIn(Dialect.CHAT));
+        assertFalse(request(null, null).bodies().isAvailableIn(Dialect.MESSAGES));
+        assertTrue(request(null, new byte[2]).bodies().isAvailableIn(Dialect.MESSAGES));
+    }
+
+    @Test
+    public void releasedRequestKeepsItsBodyForTheAttemptThatHasIt() {
+        OutboundRequest request = request(null, null);
+        BodyReference attemptsBody = request.bodies().retain(Dialect.CHAT);
+
+        request.release();
+
+        assertFalse(request.bodies().isAvailableIn(Dialect.CHAT));
+        assertEquals(2, attemptsBody.bytes().length);
     }
 }
--- a/node/src/test/java/fawnlb/backend/RelayedBodyTest.java
+++ b/node/src/test/java/fawnlb/backend/RelayedBodyTest.java
@@ -33,7 +33,13 @@
 
     private static OutboundRequest request(Dialect dialect, boolean isStreamed) {
         return new OutboundRequest(
-                dialect, "/", "r1", null, isStreamed, new byte[2], new byte[2], ResponseSummary.withoutUsage());
+                dialect,
+                "/",
+                "r1",
+                null,
+                isStreamed,
+                TestBodies.of(dialect, new byte[2], new byte[2]),
+                ResponseSummary.withoutUsage());
     }
 
     /** The body of an answer of a chat backend. */
--- /dev/null
+++ b/node/src/test/java/fawnlb/client/RequestHeadSizeTest.java
@@ -0,0 +1,43 @@
+package fawnlb.client;
+
+import static org.junit.Assert.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.junit.Test;
+
+/** The heap that heads were seen to hold, and what is estimated for them. */
+public class RequestHeadSizeTest {
+    private static long estimate(String head) {
+        RequestHeadSize size = new RequestHeadSize();
+        byte[] bytes = head.getBytes(StandardCharsets.ISO_8859_1);
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        int half = bytes.length / 2;
+        size.add(buffer, 0, half);
+        size.add(buffer, half, bytes.length);
+        return size.heapBytes();
+    }
+
+    private static void assertBetween(long least, long most, long value) {
+        assertTrue(value + " bytes", value >= least && value <= most);
+    }
+
+    @Test
+    public void manyShortFieldsCountForMoreThanTheirBytes() {
+        String start = "POST /v1/chat/completions HTTP/1.1\r\n";
+        assertBetween(4_400, 8_000, estimate(start + "X-Name: value\r\n".repeat(8)));
+        assertBetween(13_900, 20_000, estimate(start + "ab:b\r\n".repeat(62)));
+        assertBetween(20_900, 30_000, estimate(start + ("ab:" + "v".repeat(120) + "\r\n").repeat(62)));
+        assertBetween(144_600, 170_000, estimate("POST /" + ";ab".repeat(930) + " HTTP/1.1\r\n"));
+    }
+
+    @Test
+    public void nextHeadIsCountedAnew() {
+        RequestHeadSize size = new RequestHeadSize();
+        long empty = size.heapBytes();
+        size.add(ByteBuffer.wrap(new byte[100]), 0, 100);
+        size.reset();
+
+        assertTrue(size.heapBytes() == empty);
+    }
+}
--- a/node/src/test/java/fawnlb/client/TrackerHarness.java
+++ b/node/src/test/java/fawnlb/client/TrackerHarness.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.eventloop.IoThread;
+import fawnlb.memory.MemoryBudget;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
@@ -14,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.rules.ExternalResource;
 import org.xnio.ChannelListeners;
 import org.xnio.OptionMap;
@@ -36,6 +38,7 @@
     private final TickingTimers timers = new TickingTimers();
     private final HttpOpenListener requestReader = new HttpOpenListener(new DefaultByteBufferPool(true, 2048, 9, 0));
     private final BlockingQueue<StreamConnection> accepted = new LinkedBlockingQueue<>();
+    private volatile Consumer<ClientConnectionTracker.RequestAdmission> admissionObserver = admission -> {};
     private ClientConnectionTracker tracker;
     private AcceptingChannel<StreamConnection> server;
 
@@ -59,19 +62,31 @@
 
     /** Replaces the tracker. Must be called before the first connection. */
     void limitConnections(int maxConnections) {
+        limit(maxConnections, MemoryBudget.unlimited());
+    }
+
+    /** Replaces the tracker. Must be called before the first connection. */
+    void limit(int maxConnections, MemoryBudget memory) {
         tracker = new ClientConnectionTracker(
                 new ClientConnectionTracker.Limits(maxConnections, IDLE_TIMEOUT_NANOS, REQUEST_HEAD_TIMEOUT_NANOS),
-                timers);
+                timers,
+                memory,
+                () -> false);
     }
 
     /** Replaces the handler of requests, which is called after the tracker's. */
     void handleRequests(HttpHandler handler) {
         requestReader.setRootHandler(exchange -> {
-            tracker.onRequestStarted(exchange);
+            admissionObserver.accept(tracker.onRequestStarted(exchange));
             handler.handleRequest(exchange);
         });
     }
 
+    /** Sets what learns of the tracker's decision on each request; the handler is called whatever it is. */
+    void observeAdmissions(Consumer<ClientConnectionTracker.RequestAdmission> observer) {
+        admissionObserver = observer;
+    }
+
     ClientConnectionTracker tracker() {
         return tracker;
     }
--- a/node/src/test/java/fawnlb/eventloop/IoThread.java
+++ b/node/src/test/java/fawnlb/eventloop/IoThread.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.junit.rules.ExternalResource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -54,6 +55,16 @@
         call.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Evaluates a condition on the thread until it holds, and fails if it does not within the timeout. */
+    public void awaitUntil(BooleanSupplier condition) throws Exception {
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        boolean[] holds = new boolean[1];
+        while (!holds[0]) {
+            assertTrue("within the timeout", System.nanoTime() < deadlineNanos);
+            run(() -> holds[0] = condition.getAsBoolean());
+        }
+    }
+
     /**
      * Blocks the thread while an action runs on the calling thread, and then runs a task before it polls its sockets.
      */
--- a/node/src/test/java/fawnlb/http/RequestBodyReaderTest.java
+++ b/node/src/test/java/fawnlb/http/RequestBodyReaderTest.java
@@ -3,6 +3,9 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.eventloop.ManualTimers;
+import fawnlb.memory.MemoryBudget;
+import fawnlb.memory.MemoryObserver;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -13,6 +16,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -23,8 +28,12 @@
     private static final int MAX_BUFFERED_BYTES = 300_000;
 
     private static final long TIMEOUT_NANOS = 30_000_000_000L;
+    /** Longer than a body may take while others wait for its memory. */
+    private static final long MORE_THAN_ENOUGH_TIME_NANOS = 1_000_000_000L;
 
-    private final RequestBodyReader bodyReader = new RequestBodyReader(MAX_BUFFERED_BYTES);
+    private final MemoryBudget memory = new MemoryBudget(MAX_BUFFERED_BYTES, 0, MemoryObserver.NONE);
+    private final ManualTimers timers = new ManualTimers(0);
+    private final RequestBodyReader bodyReader = new RequestBodyReader(memory, timers);
     private final Undertow server = Undertow.builder()
             .setIoThreads(1)
             .addHttpListener(0, "127.0.0.1")
@@ -33,8 +42,8 @@
             .build();
     private final List<Socket> clients = new ArrayList<>();
 
-    private static void accept(HttpServerExchange exchange, byte[] body) {
-        respond(exchange, StatusCodes.OK, "took " + body.length);
+    private static void accept(HttpServerExchange exchange, BodyReference body) {
+        respond(exchange, StatusCodes.OK, "took " + body.bytes().length);
     }
 
     private static void respond(HttpServerExchange exchange, int status, String text) {
@@ -110,6 +119,27 @@
         return first;
     }
 
+    /** Guards against slow clients that keep the memory of all bodies, so that others are rejected. */
+    @Test
+    public void slowestBodyIsRejectedToMakeRoom() throws Exception {
+        Socket first = assertSecondBodyIsRejected();
+
+        runOnIoThread(() -> timers.advance(MORE_THAN_ENOUGH_TIME_NANOS));
+        assertBodyIsAcceptedEventually();
+
+        String response = new String(first.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertTrue(response, response.startsWith("HTTP/1.1 503") && response.contains("Retry-After: 1\r\n"));
+    }
+
+    private void runOnIoThread(Runnable task) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        server.getWorker().getIoThread().execute(() -> {
+            task.run();
+            done.countDown();
+        });
+        assertTrue(done.await(10, TimeUnit.SECONDS));
+    }
+
     private void assertBodyIsAcceptedEventually() throws IOException {
         long end = System.nanoTime() + TIMEOUT_NANOS;
         String response = exchangeFullBody();
--- a/node/src/test/java/fawnlb/http/ResponseParserTest.java
+++ b/node/src/test/java/fawnlb/http/ResponseParserTest.java
@@ -53,9 +53,18 @@
                     200,
                     "abc"));
 
+    private static String manyHeaders(int count) {
+        StringBuilder headers = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            headers.append(i).append(":\r\n");
+        }
+        return headers.toString();
+    }
+
     private static final String[] MALFORMED_RESPONSES = {
         OK + "\r\nall of it",
         "SPDY/1 200 OK\r\n\r\n",
+        OK + manyHeaders(65) + "\r\n",
         "HTTP/1.1 2000 OK\r\n\r\n",
         OK + "no colon\r\n\r\n",
         OK + "Content-Length: -1\r\n\r\n",
--- a/node/src/test/java/fawnlb/metrics/MetricsTest.java
+++ b/node/src/test/java/fawnlb/metrics/MetricsTest.java
@@ -37,6 +37,11 @@
                         "fawnlb_attempts_total{end}",
                         "fawnlb_sends_prevented_total{reason}",
                         "fawnlb_client_connections_closed_total{reason}",
+                        "fawnlb_requests_rejected_total{reason}",
+                        "fawnlb_memory_refusals_total{use}",
+                        "fawnlb_memory_reclaims_total{use}",
+                        "fawnlb_memory_reserved_bytes{use}",
+                        "fawnlb_heap_bytes{kind}",
                         "fawnlb_accept_failures_total{kind}",
                         "fawnlb_local_connect_failures_total{kind}",
                         "fawnlb_discovery_calls_total{result}",
@@ -58,7 +63,8 @@
     public void operatorsPageDescribesEveryMetricAsTheRegistryDoes() throws IOException {
         String page = Files.readString(OPERATORS_PAGE);
         for (Metric metric : Metric.values()) {
-            assertEquals(Metric.Type.COUNTER, metric.type());
+            boolean isCounter = metric.seriesName().endsWith("_total");
+            assertEquals(isCounter ? Metric.Type.COUNTER : Metric.Type.GAUGE, metric.type());
             String row = "| `" + metric.seriesName() + "` | `" + metric.labelName() + "` | " + metric.help() + " |";
             assertTrue(row, page.contains(row));
         }
--- a/node/src/test/java/fawnlb/server/PartialRequests.java
+++ b/node/src/test/java/fawnlb/server/PartialRequests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -9,18 +10,24 @@
 import java.util.List;
 
 /**
- * Many clients that each send the same part of a request and then wait. A client whose connection the server closes can
- * be replaced by {@link #reconnectClosed}.
+ * Many clients that each send the same request, or a part of one, and then wait without reading. A client whose
+ * connection the server closes can be replaced by {@link #reconnectClosed}.
  */
 final class PartialRequests implements AutoCloseable {
-    private final int port;
-    private final byte[] partialRequest;
+    /** Stands for the number of the client in what it sends. */
+    static final String CLIENT_NUMBER = "{client}";
+
+    private static final int RECEIVE_BUFFER_BYTES = 4096;
+
+    private final InetSocketAddress server;
+    private final String request;
     private final List<SocketChannel> channels = new ArrayList<>();
     private final ByteBuffer discarded = ByteBuffer.allocate(64 * 1024);
+    private int connectedClients;
 
-    PartialRequests(int port, String partialRequest) {
-        this.port = port;
-        this.partialRequest = partialRequest.getBytes(StandardCharsets.ISO_8859_1);
+    PartialRequests(int port, String request) {
+        this.server = new InetSocketAddress("127.0.0.1", port);
+        this.request = request;
     }
 
     void connect(int count) {
@@ -34,10 +41,13 @@
     }
 
     private SocketChannel connectAndSend() throws IOException {
-        SocketChannel channel = SocketChannel.open(new InetSocketAddress("127.0.0.1", port));
+        String sent = request.replace(CLIENT_NUMBER, Integer.toString(connectedClients++));
+        SocketChannel channel = SocketChannel.open();
         try {
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+            channel.connect(server);
             channel.configureBlocking(false);
-            channel.write(ByteBuffer.wrap(partialRequest));
+            channel.write(ByteBuffer.wrap(sent.getBytes(StandardCharsets.ISO_8859_1)));
             return channel;
         } catch (IOException e) {
             channel.close();
@@ -45,7 +55,7 @@
         }
     }
 
-    /** Connects anew for each connection that the server has closed. */
+    /** Reads what the server has sent, and connects anew for each connection that it has closed. */
     void reconnectClosed() throws IOException {
         List<SocketChannel> closed = new ArrayList<>();
         for (SocketChannel channel : channels) {
--- a/node/src/test/java/fawnlb/server/ServerConfigJson.java
+++ b/node/src/test/java/fawnlb/server/ServerConfigJson.java
@@ -23,6 +23,7 @@
     private String listenAddress = "127.0.0.1:0";
     private int maxSockets = 200;
     private int maxHeldRequests = 100;
+    private int memoryMegabytes = 192;
     private long connectionIdleNanos = 15_000_000_000L;
     private String instances = "";
     private String zones = "\"a\"";
@@ -70,6 +71,11 @@
         return this;
     }
 
+    ServerConfigJson memoryMegabytes(int megabytes) {
+        memoryMegabytes = megabytes;
+        return this;
+    }
+
     ServerConfigJson maxHeldRequests(int requests) {
         maxHeldRequests = requests;
         return this;
@@ -94,7 +100,8 @@
     String json() {
         return "{\"name\":\"t\",\"listen\":\"" + listenAddress + "\",\"discovery\":\"" + discoveryAddress
                 + "\",\"seed\":\"1\",\"limits\":{\"sockets\":" + maxSockets
-                + "},\"known\":{\"revision\":1,\"complete\":true,\"members\":[" + String.join(",", endpoints)
+                + ",\"memory_mb\":" + memoryMegabytes + "},\"known\":{\"revision\":1,\"complete\":true,\"members\":["
+                + String.join(",", endpoints)
                 + "]},\"settings\":{\"localities\":[" + zones + "],\"host-types\":[\"c\",\"m\"]," + instances
                 + "\"registry-mode\":\"" + registryMode + "\",\"limits\":{\"most-tries\":6,\"most-held\":"
                 + maxHeldRequests
--- a/node/src/test/java/fawnlb/server/ServerProcess.java
+++ b/node/src/test/java/fawnlb/server/ServerProcess.java
@@ -23,6 +23,8 @@
     private static final Pattern COMMAND_LINE =
             Pattern.compile("(?m)^run = \"((?:[A-Z_]+=\\S+ )*)exec java (.*) serve\"$");
 
+    private static final Pattern PEAK_MEMORY = Pattern.compile("(?m)^VmHWM:\\s+(\\d+) kB$");
+
     private static final String NO_SHELL_COMMAND = "";
     private static final String PLATFORM_ADDRESS_KEY = "platform_address";
     private static final int READ_TIMEOUT_MS = 10_000;
@@ -80,6 +82,13 @@
         return process.isAlive();
     }
 
+    /** Returns the largest memory that the process has had resident. */
+    long peakMemoryMegabytes() throws IOException {
+        Matcher matcher = PEAK_MEMORY.matcher(Files.readString(Path.of("/proc/" + pid() + "/status")));
+        assertTrue(matcher.find());
+        return Long.parseLong(matcher.group(1)) / 1024;
+    }
+
     long pid() {
         return process.pid();
     }
--- a/node/src/test/java/fawnlb/stream/SlowClientTest.java
+++ b/node/src/test/java/fawnlb/stream/SlowClientTest.java
@@ -4,6 +4,9 @@
 import static fawnlb.stream.StreamHarness.wakeUntil;
 import static org.junit.Assert.assertEquals;
 
+import fawnlb.memory.MemoryBudget;
+import fawnlb.memory.MemoryObserver;
+import fawnlb.memory.MemoryUse;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.Test;
@@ -78,6 +81,30 @@
         assertEquals(899, harness.registry.bufferedBytes());
     }
 
+    /** What a stream holds is its whole buffer, until its client has all of it. */
+    @Test
+    public void longestStalledClientIsEvictedWhenTheProcessHoldsTooMuch() {
+        MemoryBudget memory = new MemoryBudget(1000, 0, MemoryObserver.NONE);
+        StreamHarness limited = new StreamHarness(StreamHarness.TIMEOUTS, memory);
+        ResponseStream stalled = limited.openStreamingStream(1);
+        ResponseStream reading = limited.openStreamingStream(2);
+        stalled.setHeapBytes(700);
+        stalled.onChunk(startNanos, 5);
+        stalled.onClientBackpressure(startNanos, 5);
+        reading.setHeapBytes(300);
+        reading.onChunk(startNanos, 5);
+        assertEquals(1000, memory.reservedBytes(MemoryUse.RESPONSES));
+
+        reading.setHeapBytes(301);
+        reading.onClientBackpressure(startNanos, 5);
+
+        assertEquals(StreamState.ABORTED, stalled.state());
+        assertEquals(StreamState.CLIENT_SLOW, reading.state());
+        assertEquals(301, memory.reservedBytes(MemoryUse.RESPONSES));
+        reading.onClientCaughtUp(startNanos);
+        assertEquals(0, memory.reservedBytes(MemoryUse.RESPONSES));
+    }
+
     @Test
     public void bufferedResponseOverLimitIsEvicted() {
         ResponseStream stream = harness.open(new StreamParameters(1, 0, startNanos + SECOND_NANOS, true, false));
--- a/node/src/test/java/fawnlb/stream/StreamHarness.java
+++ b/node/src/test/java/fawnlb/stream/StreamHarness.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import fawnlb.memory.MemoryBudget;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -28,7 +29,11 @@
     }
 
     StreamHarness(StreamTimeouts timeouts) {
-        registry = new StreamRegistry(timeouts);
+        this(timeouts, MemoryBudget.unlimited());
+    }
+
+    StreamHarness(StreamTimeouts timeouts, MemoryBudget memory) {
+        registry = new StreamRegistry(timeouts, memory);
     }
 
     @Override
