Read all that a client has sent before its presence is taken for granted

Cause: a close stands behind all bytes that were sent before it, and DisconnectDetector read one buffer for each check.

ClientExchangeTest.closeBehindMuchUnreadDataIsDetectedByOneCheck failed before.

--- a/node/src/main/java/fawnlb/client/DisconnectDetector.java
+++ b/node/src/main/java/fawnlb/client/DisconnectDetector.java
@@ -14,6 +14,14 @@
  */
 @EventLoopOnly
 final class DisconnectDetector {
+    /** More than sockets of both sides hold; a client that sends without end must not keep the thread. */
+    private static final long MAX_BYTES_PER_CHECK = 16 << 20;
+
+    private static final int DISCARD_BUFFER_BYTES = 64 * 1024;
+    /** The bytes are discarded, so all connections of a thread can share a buffer. */
+    private static final ThreadLocal<ByteBuffer> DISCARD_BUFFER =
+            ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(DISCARD_BUFFER_BYTES));
+
     private static final AttachmentKey<CloseListener> CLOSE_LISTENER = AttachmentKey.create(CloseListener.class);
 
     private final HttpServerExchange exchange;
@@ -70,25 +78,38 @@
         }
     }
 
-    /** Reads what the client has sent since, and returns whether the client has disconnected. */
+    /**
+     * Reads what the client has sent since, and returns whether the client has disconnected. A close stands behind all
+     * that was sent before it, so everything is read that has arrived.
+     */
     boolean readAhead() {
         PooledByteBuffer pooled = takeReadAheadBuffer();
-        ByteBuffer bytes = pooled.getBuffer();
-        bytes.compact();
-        if (!bytes.hasRemaining()) {
-            // A client sends one request at a time. From one that sends this much ahead, only the close is of interest.
-            exchange.setPersistent(false);
-            bytes.clear();
-        }
-        boolean disconnected = readOrDetectClose(bytes);
-        bytes.flip();
-        if (!bytes.hasRemaining()) {
+        ByteBuffer kept = pooled.getBuffer();
+        kept.compact();
+        boolean disconnected = readAll(kept);
+        kept.flip();
+        if (!kept.hasRemaining()) {
             pooled.close();
             connection.setExtraBytes(null);
         }
         return disconnected;
     }
 
+    private boolean readAll(ByteBuffer kept) {
+        int count = 1;
+        for (long total = 0; count > 0 && total < MAX_BYTES_PER_CHECK; total += count) {
+            if (!kept.hasRemaining()) {
+                // A client sends one request at a time. From one that sends this much, only the close is of interest.
+                exchange.setPersistent(false);
+                kept.clear();
+            }
+            count = exchange.isPersistent()
+                    ? read(kept)
+                    : read(DISCARD_BUFFER.get().clear());
+        }
+        return count < 0;
+    }
+
     private PooledByteBuffer takeReadAheadBuffer() {
         PooledByteBuffer pooled = connection.getExtraBytes();
         if (pooled == null) {
@@ -99,11 +120,12 @@
         return pooled;
     }
 
-    private boolean readOrDetectClose(ByteBuffer bytes) {
+    /** Returns the number of bytes, negative if the client has closed or reset the connection. */
+    private int read(ByteBuffer bytes) {
         try {
-            return connection.getOriginalSourceConduit().read(bytes) < 0;
+            return connection.getOriginalSourceConduit().read(bytes);
         } catch (IOException e) {
-            return true;
+            return -1;
         }
     }
 }
--- a/node/src/test/java/fawnlb/client/ClientExchangeTest.java
+++ b/node/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -21,6 +21,9 @@
 public class ClientExchangeTest {
     private static final int MAILBOX_CAPACITY = 9;
     private static final long TIMEOUT_SECONDS = 10;
+    /** More than a few reads bring, and less than the kernel takes at once. */
+    private static final int UNREAD_BYTES = 60_000;
+
     private static final String REQUEST = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
     private static final String CLOSING_REQUEST = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 
@@ -74,6 +77,29 @@
         }
     }
 
+    /** Guards against requests that are sent on after their client has closed behind bytes that nobody had read. */
+    @Test
+    public void closeBehindMuchUnreadDataIsDetectedByOneCheck() throws Exception {
+        CountDownLatch received = new CountDownLatch(1);
+        CountDownLatch disconnected = new CountDownLatch(1);
+        CompletableFuture<Boolean> presence = new CompletableFuture<>();
+        try (ExchangeServer server = new ExchangeServer(exchange -> {
+            ClientExchange client = createExchange(exchange);
+            client.attach(() -> {});
+            received.countDown();
+            awaitUninterrupted(disconnected);
+            presence.complete(client.isConnected());
+        })) {
+            Socket client = server.connect();
+            ExchangeServer.send(client, REQUEST);
+            received.await();
+            ExchangeServer.send(client, "x".repeat(UNREAD_BYTES));
+            client.close();
+            disconnected.countDown();
+            assertEquals(false, presence.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        }
+    }
+
     /** Asks until the close has passed through the kernel, or the timeout has passed. */
     private static boolean isConnectedUntilDetected(ClientExchange client) {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
