Reset the connection of a large request that is given up before its response

Cause: giving up closes the connection, and the kernel goes on sending what it holds, up to some MB.

Change: the close of a request of over 16 KB whose response has not begun is a reset, which drops what is not sent. Smaller ones are with the backend's kernel when they are written, and are closed as before.

--- a/node/src/main/java/fawnlb/backend/Backend.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -151,6 +151,12 @@
         pool.onSocketClosed();
     }
 
+    /** Closes a connection whose request is given up, so that the rest of it is not sent. */
+    void abortConnection(HttpClientConnection connection) {
+        connection.abort();
+        pool.onSocketClosed();
+    }
+
     /** Keeps a connection for the next request, and closes it where no further request may follow. */
     void returnToIdle(HttpClientConnection connection) {
         if (removed) {
--- a/node/src/main/java/fawnlb/backend/BackendExchange.java
+++ b/node/src/main/java/fawnlb/backend/BackendExchange.java
@@ -138,8 +138,9 @@
 
     /** Ends the exchange from this side. Closing the connection is what makes the backend stop its work. */
     final void abort(EndReason reason) {
-        if (!finished) {
-            closeConnection();
+        if (!finished && connection != null) {
+            backend.abortConnection(connection);
+            connection = null;
         }
         finish(reason);
     }
--- a/node/src/main/java/fawnlb/http/HttpClientConnection.java
+++ b/node/src/main/java/fawnlb/http/HttpClientConnection.java
@@ -25,15 +25,17 @@
     /** What {@link #readOrReset} returns for a read that failed; the end of the input is -1. */
     private static final int RESET = -2;
 
-    /** Backends send a head in one piece. A head that begins and does not end would hold its request for long. */
-    private static final long RESPONSE_HEAD_TIMEOUT_NANOS = 500_000_000;
+    /**
+     * A request of this size is with the remote side's kernel as soon as it is written, and a close takes nothing back.
+     */
+    private static final long MAX_DELIVERED_BYTES = 16 * 1024;
 
     private final StreamConnection channel;
     private final Timers timers;
     private final RequestWriter requestWriter;
+    private final ResponseHeadTimeout headTimeout;
     private ResponseParser parser;
     private ResponseHandler responseHandler;
-    private Timers.Timer headTimeout;
     private boolean headDelivered;
     private boolean writeFailed;
     private boolean closed;
@@ -87,6 +89,7 @@
     HttpClientConnection(StreamConnection channel, Timers timers) {
         this.channel = channel;
         this.timers = timers;
+        this.headTimeout = new ResponseHeadTimeout(timers, () -> fail(CallFailure.HEAD_TIMEOUT));
         this.requestWriter = new RequestWriter(channel.getSinkChannel());
         channel.getSourceChannel().setReadListener(c -> onReadable());
         channel.getSinkChannel().setWriteListener(c -> onWritable());
@@ -131,13 +134,24 @@
 
     /** Closes the connection without a call to its handler. */
     public void close() {
-        cancelHeadTimeout();
+        headTimeout.cancel();
         closed = true;
         responseHandler = null;
         requestWriter.discard();
         IoUtils.safeClose(channel);
     }
 
+    /**
+     * Gives up the request: closes the connection without a call to its handler. What the kernel has not sent yet of a
+     * large request is not sent any more; a remote side that reads slowly would otherwise get the rest of it.
+     */
+    public void abort() {
+        if (!headDelivered && requestWriter.requestBytes() > MAX_DELIVERED_BYTES) {
+            ConnectionReset.resetOnClose(channel);
+        }
+        close();
+    }
+
     /**
      * Sends a request. Must not be called before the previous request has ended.
      *
@@ -248,25 +262,10 @@
             fail(CallFailure.MALFORMED_RESPONSE);
             return;
         }
-        updateHeadTimeout();
+        headTimeout.update(parser.head() != null);
         deliver(body.flip());
     }
 
-    private void updateHeadTimeout() {
-        if (parser.head() != null) {
-            cancelHeadTimeout();
-        } else if (headTimeout == null) {
-            headTimeout = timers.schedule(RESPONSE_HEAD_TIMEOUT_NANOS, () -> fail(CallFailure.HEAD_TIMEOUT));
-        }
-    }
-
-    private void cancelHeadTimeout() {
-        if (headTimeout != null) {
-            headTimeout.cancel();
-            headTimeout = null;
-        }
-    }
-
     private void deliver(ByteBuffer body) {
         if (parser.head() != null && !headDelivered) {
             headDelivered = true;
@@ -315,7 +314,7 @@
     }
 
     private ResponseHandler detachHandler() {
-        cancelHeadTimeout();
+        headTimeout.cancel();
         ResponseHandler handler = responseHandler;
         responseHandler = null;
         return handler;
--- a/node/src/main/java/fawnlb/http/RequestWriter.java
+++ b/node/src/main/java/fawnlb/http/RequestWriter.java
@@ -12,6 +12,8 @@
     /** The buffers of the current request, null once all of them have been passed to the kernel. */
     private ByteBuffer[] unwritten;
 
+    private long requestBytes;
+
     RequestWriter(ConduitStreamSinkChannel channel) {
         this.channel = channel;
     }
@@ -19,6 +21,15 @@
     /** Sets the next request. The caller must call {@link #write} then. */
     void setRequest(ByteBuffer... request) {
         unwritten = request;
+        requestBytes = 0;
+        for (ByteBuffer part : request) {
+            requestBytes += part.remaining();
+        }
+    }
+
+    /** The size of the last request that was set. */
+    long requestBytes() {
+        return requestBytes;
     }
 
     /** Whether the last byte of the request has been passed to the kernel. */
--- /dev/null
+++ b/node/src/main/java/fawnlb/http/ResponseHeadTimeout.java
@@ -0,0 +1,36 @@
+package fawnlb.http;
+
+import fawnlb.eventloop.EventLoopOnly;
+import fawnlb.eventloop.Timers;
+
+/** Limits the time from the first byte of a response to the end of its head. */
+@EventLoopOnly
+final class ResponseHeadTimeout {
+    /** Backends send a head in one piece. A head that begins and does not end would hold its request for long. */
+    private static final long TIMEOUT_NANOS = 500_000_000;
+
+    private final Timers timers;
+    private final Runnable onTimeout;
+    private Timers.Timer timer;
+
+    ResponseHeadTimeout(Timers timers, Runnable onTimeout) {
+        this.timers = timers;
+        this.onTimeout = onTimeout;
+    }
+
+    /** Must be called after each read of a response. */
+    void update(boolean isHeadComplete) {
+        if (isHeadComplete) {
+            cancel();
+        } else if (timer == null) {
+            timer = timers.schedule(TIMEOUT_NANOS, onTimeout);
+        }
+    }
+
+    void cancel() {
+        if (timer != null) {
+            timer.cancel();
+            timer = null;
+        }
+    }
+}
