Count framing bytes of a response as a sign of life of its backend

Cause: HttpClientConnection tells its handler of heads and bodies alone. A backend that writes the size line of a chunk a byte at a time counted as silent, and its stream was ended after 4.5 s.

Change: such bytes restart the silence, as parts of an event do. HttpClientConnectionTest.framingWithoutContentIsReported and ResponseStreamTest.backendThatWritesFramingSlowlyIsNotSilent failed before.

--- a/node/src/main/java/fawnlb/backend/AttemptExchange.java
+++ b/node/src/main/java/fawnlb/backend/AttemptExchange.java
@@ -130,6 +130,13 @@
         }
     }
 
+    @Override
+    public void onFraming() {
+        if (body != null) {
+            stream.onPartialData(now());
+        }
+    }
+
     private void discard(ByteBuffer bytes) {
         if (discardedBody.discard(bytes)) {
             connection().resumeReading();
--- a/node/src/main/java/fawnlb/http/HttpClientConnection.java
+++ b/node/src/main/java/fawnlb/http/HttpClientConnection.java
@@ -48,6 +48,12 @@
         /** Called with a part of the body. The next part comes after {@link HttpClientConnection#resumeReading}. */
         void onBody(ByteBuffer bytes);
 
+        /**
+         * Called when bytes of the response came that are no part of its head or body, such as a part of a chunk's
+         * size. The next bytes are read without being asked for.
+         */
+        default void onFraming() {}
+
         /**
          * Called when the response is complete.
          *
@@ -278,6 +284,8 @@
         if (body.hasRemaining()) {
             channel.getSourceChannel().suspendReads();
             responseHandler.onBody(body);
+        } else if (headDelivered && !isComplete) {
+            responseHandler.onFraming();
         }
         if (isComplete) {
             complete();
--- a/node/src/test/java/fawnlb/http/HttpClientConnectionTest.java
+++ b/node/src/test/java/fawnlb/http/HttpClientConnectionTest.java
@@ -1,5 +1,6 @@
 package fawnlb.http;
 
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.eventloop.EventLoopTimers;
@@ -34,6 +35,7 @@
         private final String name;
         private final HttpClientConnection connection;
         final CountDownLatch firstPartReceived = new CountDownLatch(1);
+        final CountDownLatch framingReceived = new CountDownLatch(1);
         final CountDownLatch ended = new CountDownLatch(1);
 
         ImmediateReader(String name, HttpClientConnection connection) {
@@ -54,6 +56,12 @@
 
         void beforeNextPart() {}
 
+        @Override
+        public void onFraming() {
+            events.add(name + " framing");
+            framingReceived.countDown();
+        }
+
         @Override
         public void onComplete(boolean reusable) {
             ended.countDown();
@@ -136,6 +144,26 @@
         }
     }
 
+    /** Guards against answers that are cut off as silent while their backend writes a chunk's size slowly. */
+    @Test
+    public void framingWithoutContentIsReported() throws Exception {
+        try (ServerSocket server = listen()) {
+            ImmediateReader reader = new ImmediateReader("call", connect(server));
+            try (Socket backend = server.accept()) {
+                ioThread.run(() -> sendRequest(reader));
+                write(backend, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+                await(reader.firstPartReceived);
+                assertEquals(List.of("call"), events);
+
+                write(backend, "0000");
+                await(reader.framingReceived);
+                write(backend, "1\r\nb\r\n0\r\n\r\n");
+                await(reader.ended);
+            }
+            assertEquals(List.of("call", "call framing", "call"), events);
+        }
+    }
+
     /** The response ends with its connection. A reset is no such end, or half of a response would look complete. */
     @Test
     public void resetFailsResponseDelimitedByClose() throws Exception {
--- a/node/src/test/java/fawnlb/server/ResponseStreamTest.java
+++ b/node/src/test/java/fawnlb/server/ResponseStreamTest.java
@@ -6,6 +6,7 @@
 import static fawnlb.server.Requests.chat;
 import static fawnlb.server.Responses.COMPLETE_STREAM;
 import static fawnlb.server.Responses.CONTENT_EVENT;
+import static fawnlb.server.Responses.DONE_EVENT;
 import static fawnlb.server.Responses.LAST_CHUNK;
 import static fawnlb.server.Responses.chunk;
 import static fawnlb.server.Responses.openStream;
@@ -20,11 +21,34 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.Test;
 
 /** Timeouts of streams, slow clients, and the admin listener that shows both. */
 public class ResponseStreamTest {
+    /** They take twice the timeout of a silence in the test that writes them. */
+    private static final int SLOW_BYTES = 10;
+
+    /** Guards against answers that are cut off as silent while their backend writes a chunk's size slowly. */
+    @Test
+    public void backendThatWritesFramingSlowlyIsNotSilent() throws Exception {
+        try (FakeHttpServer backend = new FakeHttpServer((request, connection) -> {
+                    write(connection, openStream(CONTENT_EVENT));
+                    for (int i = 0; i < SLOW_BYTES; i++) {
+                        TimeUnit.MILLISECONDS.sleep(200);
+                        write(connection, "0");
+                    }
+                    write(connection, chunk(DONE_EVENT) + LAST_CHUNK);
+                });
+                ServerHarness harness = ServerHarness.withStreams(
+                        "{\"silence\":{\"learned\":false,\"pause-ms\":1000,\"most-ms\":1000}}", backend)) {
+            String response = harness.exchange(chat("id", 4000));
+
+            assertTrue(response, response.contains(DONE_EVENT.trim()) && response.endsWith(LAST_CHUNK));
+        }
+    }
+
     /** Short timeouts keep the tests short. */
     static final String SHORT_TIMEOUTS =
             "{\"silence\":{\"pause-ms\":200,\"most-ms\":400},\"readers\":{\"patience-ms\":500},"
