Refuse an id that comes again after its request may have run

Cause: InFlightRequestIds forgot an id with the client's exchange, whatever the backends had done with it.

Change: RequestIds keeps an id until the request has ended for its client and at the backends, and remembers it after that where it may have run and its client left, or where its class must not run twice. The proxy reports the end of a request with whether an attempt may have run (ClientConnection.onRequestEnded). A request that never ran, or that was served and may be repeated, is a new one as before.

--- a/node/src/main/java/fawnlb/client/AffinityKeys.java
+++ b/node/src/main/java/fawnlb/client/AffinityKeys.java
@@ -28,11 +28,12 @@
         if (text.matches("[0-9a-fA-F]{1,16}")) {
             return Long.parseUnsignedLong(text, HEXADECIMAL);
         }
-        return hash(text);
+        return hash(text, 0);
     }
 
-    private static long hash(String text) {
-        long hash = FNV_OFFSET_BASIS;
+    /** Returns a hash of a text. Another seed gives another hash. */
+    static long hash(String text, long seed) {
+        long hash = FNV_OFFSET_BASIS ^ seed;
         for (int i = 0; i < text.length(); i++) {
             hash = (hash ^ text.charAt(i)) * FNV_PRIME;
         }
--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -35,6 +35,7 @@
     private final HttpServerExchange exchange;
     private final Mailbox mailbox;
     private final ResponseFormatter formatter;
+    private final RequestIds.Registration registration;
     private final DisconnectDetector disconnectDetector;
     private RequestProxy.RequestHandle requestHandle;
     private ResponseSource source;
@@ -48,11 +49,17 @@
      *
      * @param mailbox runs messages on the I/O thread of the exchange's connection
      * @param formatter the format of the responses, of this request alone
+     * @param registration the request's id, null if it is not registered
      */
-    public ClientExchange(HttpServerExchange exchange, Mailbox mailbox, ResponseFormatter formatter) {
+    public ClientExchange(
+            HttpServerExchange exchange,
+            Mailbox mailbox,
+            ResponseFormatter formatter,
+            RequestIds.Registration registration) {
         this.exchange = exchange;
         this.mailbox = mailbox;
         this.formatter = formatter;
+        this.registration = registration;
         this.disconnectDetector = new DisconnectDetector(exchange);
     }
 
@@ -70,9 +77,19 @@
     /** Attaches the admitted request, which is cancelled if the client disconnects. Must be called once. */
     public void attach(RequestProxy.RequestHandle admittedRequest) {
         requestHandle = admittedRequest;
+        if (registration != null) {
+            registration.onSubmitted();
+        }
         disconnectDetector.start(this::onReadable, () -> post(this::onClientDisconnected));
     }
 
+    @Override
+    public void onRequestEnded(boolean mayHaveRun) {
+        if (registration != null) {
+            registration.onRequestEnded(mayHaveRun);
+        }
+    }
+
     /** Reads the connection first: on a busy processor a client may have disconnected long before that is read. */
     @Override
     public boolean isConnected() {
@@ -207,6 +224,9 @@
     private void finish(ClientOutcome newOutcome, int status, AttemptEnd cause) {
         outcome = newOutcome;
         Metrics.increment(Metric.REQUESTS, newOutcome.label());
+        if (registration != null) {
+            registration.onClientOutcome(newOutcome);
+        }
         disconnectDetector.release();
         formatter.onExchangeFinished(newOutcome, status, cause);
         if (source != null) {
--- a/node/src/main/java/fawnlb/client/RequestForwarder.java
+++ b/node/src/main/java/fawnlb/client/RequestForwarder.java
@@ -25,10 +25,15 @@
      * Submits a request. The exchange sends the response.
      *
      * @param formatter the format of the responses, of this request alone
+     * @param registration the request's id
      */
-    public void forward(HttpServerExchange exchange, IncomingRequest request, ResponseFormatter formatter) {
+    public void forward(
+            HttpServerExchange exchange,
+            IncomingRequest request,
+            ResponseFormatter formatter,
+            RequestIds.Registration registration) {
         Mailbox mailbox = new Mailbox(exchange.getIoThread(), MAILBOX_CAPACITY);
-        ClientExchange client = new ClientExchange(exchange, mailbox, formatter);
+        ClientExchange client = new ClientExchange(exchange, mailbox, formatter, registration);
         RequestProxy.RequestHandle handle = requestProxy.submit(request, client);
         if (handle == null) {
             client.sendRejection(null, OVERLOAD_RETRY_AFTER_NANOS);
--- a/node/src/main/java/fawnlb/messages/BrokerHandler.java
+++ b/node/src/main/java/fawnlb/messages/BrokerHandler.java
@@ -1,8 +1,8 @@
 package fawnlb.messages;
 
 import fawnlb.backend.OutboundRequest.ResponseSummary;
-import fawnlb.client.InFlightRequestIds;
 import fawnlb.client.RequestForwarder;
+import fawnlb.client.RequestIds;
 import fawnlb.contract.Budget;
 import fawnlb.contract.Contract;
 import fawnlb.contract.Contracts;
@@ -12,6 +12,7 @@
 import fawnlb.http.InvalidRequestException;
 import fawnlb.http.RequestBodyReader;
 import fawnlb.http.ResourceExhaustedException;
+import fawnlb.proxy.IncomingRequest;
 import fawnlb.proxy.RequestProxy;
 import fawnlb.translation.Dialect;
 import io.undertow.server.HttpHandler;
@@ -31,7 +32,7 @@
 
     private final RequestForwarder forwarder;
     private final RequestBodyReader bodyReader;
-    private final InFlightRequestIds inFlightIds;
+    private final RequestIds requestIds;
     private final BrokerRequestReader requestReader;
     private final Contracts contracts;
     private final Timers timers;
@@ -41,14 +42,14 @@
     public BrokerHandler(
             RequestProxy requestProxy,
             RequestBodyReader bodyReader,
-            InFlightRequestIds inFlightIds,
+            RequestIds requestIds,
             BrokerRequestReader requestReader,
             Contracts contracts,
             Timers timers,
             RequestLog requestLog) {
         this.forwarder = new RequestForwarder(requestProxy);
         this.bodyReader = bodyReader;
-        this.inFlightIds = inFlightIds;
+        this.requestIds = requestIds;
         this.requestReader = requestReader;
         this.contracts = contracts;
         this.timers = timers;
@@ -92,14 +93,15 @@
         ResponseSummary responseSummary = ResponseSummary.withUsage();
         BrokerRequest request = read(exchange, contract, record, responseSummary, body);
         checkContract(contract, record, request.maxTokens());
-        registerId(exchange, record);
+        RequestIds.Registration registration = registerId(exchange, record, request.incoming());
         ReservedBudget budget = reserve(contract.budget(), request.maxTokens());
         boolean streaming = request.completion().stream();
         exchange.getResponseHeaders().put(RESPONSE_REQUEST_ID, record.id());
         forwarder.forward(
                 exchange,
                 request.incoming(),
-                new BrokerResponseFormatter(record, streaming, responseSummary, budget, requestLog, timers));
+                new BrokerResponseFormatter(record, streaming, responseSummary, budget, requestLog, timers),
+                registration);
     }
 
     private BrokerRequest read(
@@ -137,10 +139,15 @@
         }
     }
 
-    private void registerId(HttpServerExchange exchange, RequestRecord record) throws RequestRejectedException {
-        if (!inFlightIds.tryRegister(record.id(), exchange)) {
-            throw new RequestRejectedException(StatusCodes.CONFLICT, "X-Request-Id is that of an open request");
+    private RequestIds.Registration registerId(
+            HttpServerExchange exchange, RequestRecord record, IncomingRequest request)
+            throws RequestRejectedException {
+        RequestIds.Registration registration = requestIds.tryRegister(record.id(), request.classIndex(), exchange);
+        if (registration == null) {
+            throw new RequestRejectedException(
+                    StatusCodes.CONFLICT, "X-Request-Id is that of a request that is open or may have run");
         }
+        return registration;
     }
 
     private ReservedBudget reserve(Budget budget, long maxTokens) throws RequestRejectedException {
--- a/node/src/main/java/fawnlb/platform/PlatformHandler.java
+++ b/node/src/main/java/fawnlb/platform/PlatformHandler.java
@@ -2,8 +2,8 @@
 
 import fawnlb.backend.OutboundRequest;
 import fawnlb.client.FixedResponse;
-import fawnlb.client.InFlightRequestIds;
 import fawnlb.client.RequestForwarder;
+import fawnlb.client.RequestIds;
 import fawnlb.decision.LoadBalancerSettings;
 import fawnlb.http.BodyReference;
 import fawnlb.http.InvalidRequestException;
@@ -26,7 +26,7 @@
 
     private final RequestForwarder forwarder;
     private final RequestBodyReader bodyReader;
-    private final InFlightRequestIds inFlightIds;
+    private final RequestIds requestIds;
     private final PlatformRequestReader requestReader;
     private final Supplier<Readiness> readiness;
 
@@ -38,13 +38,13 @@
     public PlatformHandler(
             RequestProxy requestProxy,
             RequestBodyReader bodyReader,
-            InFlightRequestIds inFlightIds,
+            RequestIds requestIds,
             LoadBalancerSettings settings,
             BodyPolicy bodyPolicy,
             Supplier<Readiness> readiness) {
         this.forwarder = new RequestForwarder(requestProxy);
         this.bodyReader = bodyReader;
-        this.inFlightIds = inFlightIds;
+        this.requestIds = requestIds;
         this.requestReader = new PlatformRequestReader(settings, bodyReader, bodyPolicy);
         this.readiness = readiness;
     }
@@ -89,11 +89,12 @@
             sendText(exchange, StatusCodes.SERVICE_UNAVAILABLE, e.getMessage());
             return;
         }
-        if (inFlightIds.tryRegister(requestId, exchange)) {
-            forwarder.forward(exchange, request, new PlatformResponseFormatter(responseSummary));
+        RequestIds.Registration registration = requestIds.tryRegister(requestId, request.classIndex(), exchange);
+        if (registration != null) {
+            forwarder.forward(exchange, request, new PlatformResponseFormatter(responseSummary), registration);
         } else {
             RejectionReason.DUPLICATE_ID.record(requestId);
-            sendText(exchange, StatusCodes.CONFLICT, "X-Request-Id is that of an open request");
+            sendText(exchange, StatusCodes.CONFLICT, "X-Request-Id is that of a request that is open or may have run");
         }
     }
 
--- a/node/src/main/java/fawnlb/proxy/ClientConnection.java
+++ b/node/src/main/java/fawnlb/proxy/ClientConnection.java
@@ -17,6 +17,13 @@
         return 0;
     }
 
+    /**
+     * The request has its final answer or its client has left, and no attempt is active. Called once, as the last.
+     *
+     * @param mayHaveRun whether an attempt may have taken effect
+     */
+    default void onRequestEnded(boolean mayHaveRun) {}
+
     /** Answers with a backend's response. */
     void streamResponse(ResponseSource source);
 
--- a/node/src/main/java/fawnlb/proxy/ProxiedRequest.java
+++ b/node/src/main/java/fawnlb/proxy/ProxiedRequest.java
@@ -137,6 +137,7 @@
         lastAttemptEnd = end;
         activeAttempt.cancelResponseTimer();
         activeAttempt = null;
+        reportEndIfAnswered();
     }
 
     /** The client was sent a fixed answer, or has left. */
@@ -144,6 +145,13 @@
         move(RequestEvent.CLOSED);
         cancelFinalDeadlineTimer();
         releasePayload();
+        reportEndIfAnswered();
+    }
+
+    private void reportEndIfAnswered() {
+        if (state == RequestState.ANSWERED) {
+            client.onRequestEnded(mayHaveRun());
+        }
     }
 
     /** The request has its final answer, so no further attempt will be made. */
--- a/node/src/main/java/fawnlb/server/Fronts.java
+++ b/node/src/main/java/fawnlb/server/Fronts.java
@@ -1,6 +1,6 @@
 package fawnlb.server;
 
-import fawnlb.client.InFlightRequestIds;
+import fawnlb.client.RequestIds;
 import fawnlb.config.MessagesConfiguration;
 import fawnlb.config.ServerConfiguration;
 import fawnlb.http.RequestBodyReader;
@@ -28,7 +28,7 @@
     private final EventLoop eventLoop;
     private final HttpListeners listeners;
     private final RequestBodyReader bodyReader;
-    private final InFlightRequestIds requestIds = new InFlightRequestIds();
+    private final RequestIds requestIds;
     private InetSocketAddress platformAddress;
     private InetSocketAddress messagesAddress;
 
@@ -48,6 +48,7 @@
         this.eventLoop = eventLoop;
         this.listeners = listeners;
         this.bodyReader = bodyReader;
+        this.requestIds = new RequestIds(configuration.settings(), eventLoop.timers());
     }
 
     /**
--- a/node/src/test/java/fawnlb/client/ClientExchangeTest.java
+++ b/node/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -29,7 +29,7 @@
 
     private static ClientExchange createExchange(HttpServerExchange exchange) {
         Mailbox mailbox = new Mailbox(exchange.getIoThread(), MAILBOX_CAPACITY);
-        return new ClientExchange(exchange, mailbox, new TextResponseFormatter());
+        return new ClientExchange(exchange, mailbox, new TextResponseFormatter(), null);
     }
 
     private static void awaitUninterrupted(CountDownLatch latch) {
@@ -186,7 +186,8 @@
     private static void assertRejectedAndCancelled(Mailbox mailbox) throws Exception {
         CountDownLatch cancelled = new CountDownLatch(1);
         try (ExchangeServer server = new ExchangeServer(exchange -> {
-                    ClientExchange client = new ClientExchange(exchange, mailbox, new ThrowingResponseFormatter());
+                    ClientExchange client =
+                            new ClientExchange(exchange, mailbox, new ThrowingResponseFormatter(), null);
                     client.attach(cancelled::countDown);
                     client.streamResponse(EMPTY_SOURCE);
                 });
