Take an endpoint for gone whose address a later one has

Cause: the pool and the load balancer know endpoints by their ids alone. Where discovery lists the new process at the address before it tells that the old one has gone, or brings an old entry late, requests for the old one went on, to the new one.

Change: AddressOwners compares the listed addresses. Of two endpoints at one address the one that started later has it; the other one is gone for all that follow discovery, until it is listed elsewhere. Two with the same start both stay: nothing tells which is right.

DiscoveryUpdateTest.endpointWhoseAddressAnotherHasTakenOverGetsNoRequests: red before (the old id was served from the process of the new one, which drains), green now. Process identity can't be had from a connection: what discovery has not told of is not known.

--- /dev/null
+++ b/node/src/main/java/fawnlb/discovery/AddressOwners.java
@@ -0,0 +1,82 @@
+package fawnlb.discovery;
+
+import fawnlb.decision.EndpointPhase;
+import fawnlb.eventloop.EventLoopOnly;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which endpoint is behind an address. One process listens at an address at a time: when an endpoint that has started
+ * later is listed at the address of another, that other one has gone, also where discovery does not say so yet. What is
+ * sent to it would reach the new process.
+ */
+@EventLoopOnly
+public final class AddressOwners {
+    private final Map<String, DiscoveredEndpoint> ownersByAddress = new HashMap<>();
+    private final Map<String, String> addressesById = new HashMap<>();
+
+    /**
+     * Returns a list in which the endpoints that have lost their address are gone; a complete list leaves them out.
+     *
+     * @param list the next list of discovery
+     */
+    public EndpointList resolve(EndpointList list) {
+        if (list.complete()) {
+            ownersByAddress.clear();
+            addressesById.clear();
+        }
+        Map<String, DiscoveredEndpoint> resolved = new LinkedHashMap<>();
+        list.endpoints().forEach(endpoint -> take(endpoint, resolved));
+        List<DiscoveredEndpoint> endpoints = resolved.values().stream()
+                .filter(endpoint -> !list.complete() || endpoint.phase() != EndpointPhase.GONE)
+                .toList();
+        return new EndpointList(list.revision(), list.complete(), endpoints);
+    }
+
+    /** Takes an entry over into what is resolved, and marks the endpoint that has lost its address by it. */
+    private void take(DiscoveredEndpoint endpoint, Map<String, DiscoveredEndpoint> resolved) {
+        release(endpoint.id());
+        DiscoveredEndpoint owner =
+                endpoint.phase() == EndpointPhase.GONE ? null : ownersByAddress.get(addressOf(endpoint));
+        if (owner != null && owner.upSinceMillis() > endpoint.upSinceMillis()) {
+            resolved.put(endpoint.id(), gone(endpoint));
+            return;
+        }
+        if (owner != null && owner.upSinceMillis() < endpoint.upSinceMillis()) {
+            release(owner.id());
+            resolved.put(owner.id(), gone(owner));
+        }
+        resolved.put(endpoint.id(), endpoint);
+        if (endpoint.phase() != EndpointPhase.GONE) {
+            ownersByAddress.put(addressOf(endpoint), endpoint);
+            addressesById.put(endpoint.id(), addressOf(endpoint));
+        }
+    }
+
+    /** The endpoint has no address any more, unless it is listed with one again. */
+    private void release(String id) {
+        String address = addressesById.remove(id);
+        if (address != null && ownersByAddress.get(address).id().equals(id)) {
+            ownersByAddress.remove(address);
+        }
+    }
+
+    private static String addressOf(DiscoveredEndpoint endpoint) {
+        return endpoint.host() + ':' + endpoint.port();
+    }
+
+    private static DiscoveredEndpoint gone(DiscoveredEndpoint endpoint) {
+        return new DiscoveredEndpoint(
+                endpoint.id(),
+                endpoint.host(),
+                endpoint.port(),
+                endpoint.zone(),
+                endpoint.kind(),
+                endpoint.cell(),
+                EndpointPhase.GONE,
+                endpoint.size(),
+                endpoint.upSinceMillis());
+    }
+}
--- a/node/src/main/java/fawnlb/server/EndpointPublisher.java
+++ b/node/src/main/java/fawnlb/server/EndpointPublisher.java
@@ -5,6 +5,7 @@
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent;
 import fawnlb.decision.LoadBalancerSettings;
+import fawnlb.discovery.AddressOwners;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.discovery.DiscoveryListener;
 import fawnlb.discovery.EndpointList;
@@ -34,6 +35,7 @@
     private final Timers timers;
     private final ReadinessGate readiness;
     private final EndpointMemory memory;
+    private final AddressOwners addressOwners = new AddressOwners();
     private final EndpointStartTimes startTimes = new EndpointStartTimes();
     private RequestProxy requestProxy;
     private SnapshotRecorder snapshotRecorder;
@@ -78,7 +80,8 @@
     }
 
     @Override
-    public void onDiscoveryUpdate(EndpointUpdateKind kind, EndpointList list) {
+    public void onDiscoveryUpdate(EndpointUpdateKind kind, EndpointList listed) {
+        EndpointList list = listed == null ? null : addressOwners.resolve(listed);
         if (snapshotRecorder != null) {
             snapshotRecorder.onDiscoveryUpdate(kind, list);
         }
--- a/node/src/test/java/fawnlb/server/DiscoveryUpdateTest.java
+++ b/node/src/test/java/fawnlb/server/DiscoveryUpdateTest.java
@@ -45,6 +45,28 @@
         }
     }
 
+    /** Guards against work for an endpoint that has gone, sent to the process that came up at its address. */
+    @Test
+    public void endpointWhoseAddressAnotherHasTakenOverGetsNoRequests() throws Exception {
+        try (FakeHttpServer backend = FakeHttpServer.responding(COMPLETE_STREAM);
+                FakeHttpServer discovery = FakeHttpServer.holdingOpenAfter(openStream(update(
+                        2, inPhase("draining", 2, backend).replace("\"up_since_ms\":0", "\"up_since_ms\":1000"))));
+                ServerHarness harness = ServerHarness.withConfig(
+                        ServerConfigJson.watching(discovery).endpoints(ready(1, backend)))) {
+            waitUntil(
+                    "update received",
+                    () -> !discovery.requests.isEmpty()
+                            && harness.exchange(chat("id", 200)).startsWith("HTTP/1.1 503"));
+            int requestsBefore = backend.requests.size();
+
+            for (int i = 0; i < 10; i++) {
+                String response = harness.exchange(chat("id-" + i, 200));
+                assertTrue(response, response.startsWith("HTTP/1.1 503"));
+            }
+            assertEquals(requestsBefore, backend.requests.size());
+        }
+    }
+
     /** A pushed list is only the first one: the server watches the agent for those that follow. */
     @Test
     public void pushedEndpointListIsFollowed() throws Exception {
