Repeat no keyed request on an endpoint whose connection broke

Cause: IdempotencyRules let a request under a key of one zone or cell run again on the endpoint that had it, whatever had ended the attempt. A connection that breaks is what is seen of a process that ends; until discovery tells, the next connection to the address may lead to a process of another zone or cell, which does not know the key.

Change: after a broken connection such a request may go to other endpoints of the group, and not to this one. Keys that all backends share, and classes that may be repeated, are as before. IdempotencyRulesTest. endpointWhoseConnectionBrokeMayBeAnotherProcess failed before.

--- a/node/src/main/java/fawnlb/policy/ActiveRequest.java
+++ b/node/src/main/java/fawnlb/policy/ActiveRequest.java
@@ -96,6 +96,16 @@
         return false;
     }
 
+    /** Whether the connection of an attempt on this endpoint broke. */
+    boolean lostConnectionTo(EndpointState endpoint) {
+        for (int i = 0; i < attempts.size(); i++) {
+            if (attempts.get(i).endpoint == endpoint && attempts.get(i).connectionLost) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The first attempt that may have taken effect; null if there is none. */
     Attempt firstThatMayHaveRun() {
         for (int i = 0; i < attempts.size(); i++) {
--- a/node/src/main/java/fawnlb/policy/Attempt.java
+++ b/node/src/main/java/fawnlb/policy/Attempt.java
@@ -8,6 +8,9 @@
     /** Whether the attempt may have taken effect; unknown, and so true, until it has ended. */
     boolean mayHaveRun = true;
 
+    /** Whether the connection broke: the endpoint's process may have gone, and another one come up at its address. */
+    boolean connectionLost;
+
     boolean responseStarted;
     /** From the start of the attempt to its first token, once the response has started. */
     long firstTokenNanos;
--- a/node/src/main/java/fawnlb/policy/BoundedLoadBalancer.java
+++ b/node/src/main/java/fawnlb/policy/BoundedLoadBalancer.java
@@ -212,6 +212,7 @@
             return;
         }
         request.endAttempt(attempt, ended.outcome().mayHaveRun());
+        attempt.connectionLost = ended.outcome() == AttemptOutcome.RESET;
         feedback.onAttemptEnded(attempt, request, ended.outcome(), ended.elapsedNanos(), now);
         if (ended.requestFinished() || ended.outcome() == AttemptOutcome.SERVED) {
             finish(request);
--- a/node/src/main/java/fawnlb/policy/IdempotencyRules.java
+++ b/node/src/main/java/fawnlb/policy/IdempotencyRules.java
@@ -2,6 +2,7 @@
 
 import fawnlb.decision.Endpoint;
 import fawnlb.decision.Idempotency;
+import fawnlb.decision.IdempotencyScope;
 import fawnlb.decision.LoadBalancerSettings.RequestClass;
 
 /**
@@ -10,7 +11,10 @@
 final class IdempotencyRules {
     private IdempotencyRules() {}
 
-    /** Whether the request may run on this endpoint. */
+    /**
+     * Whether the request may run on this endpoint. Where a connection broke, the process may have gone, and the one
+     * that has come up at its address may be of another zone or cell.
+     */
     static boolean permits(ActiveRequest request, EndpointState endpoint, long now) {
         RequestClass requestClass = request.requestClass;
         if (requestClass.idempotency() == Idempotency.IDEMPOTENT) {
@@ -24,7 +28,9 @@
             return false;
         }
         boolean isKeyInWindow = now - first.startedAt < requestClass.idempotencyWindowNanos();
-        return isKeyInWindow && sharesKeys(first.endpoint, endpoint, requestClass);
+        return isKeyInWindow
+                && sharesKeys(first.endpoint, endpoint, requestClass)
+                && (requestClass.idempotencyScope() == IdempotencyScope.ALL || !request.lostConnectionTo(endpoint));
     }
 
     /** Whether two endpoints drop repeats of each other's requests. */
--- a/node/src/test/java/fawnlb/policy/IdempotencyRulesTest.java
+++ b/node/src/test/java/fawnlb/policy/IdempotencyRulesTest.java
@@ -82,6 +82,23 @@
         assertFalse(IdempotencyRules.permits(request, PolicyFixtures.endpoint(8, 0, Endpoint.UNKNOWN), NOW));
     }
 
+    /** Guards against requests that run twice, in a process that was taken for the one that had gone. */
+    @Test
+    public void endpointWhoseConnectionBrokeMayBeAnotherProcess() {
+        for (IdempotencyScope scope : IdempotencyScope.values()) {
+            ActiveRequest request = attempted(Idempotency.IDEMPOTENCY_KEY, scope, true);
+            assertTrue(IdempotencyRules.permits(request, FIRST, NOW));
+
+            request.attempt(0).connectionLost = true;
+
+            assertEquals(scope == IdempotencyScope.ALL, IdempotencyRules.permits(request, FIRST, NOW));
+            assertTrue(IdempotencyRules.permits(request, SAME_CELL, NOW));
+        }
+        ActiveRequest idempotent = attempted(Idempotency.IDEMPOTENT, IdempotencyScope.CELL, true);
+        idempotent.attempt(0).connectionLost = true;
+        assertTrue(IdempotencyRules.permits(idempotent, FIRST, NOW));
+    }
+
     @Test
     public void idempotencyKeysAreForgottenAfterTheirWindow() {
         ActiveRequest request = attempted(Idempotency.IDEMPOTENCY_KEY, IdempotencyScope.ALL, true);
