Read a client that sends without end in small parts

Change: an event reads 64 KB, and where that is more than a request ahead the connection is left unread for 10 ms. All is still read before an attempt is sent.

--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -93,8 +93,8 @@
     /** Reads the connection first: on a busy processor a client may have disconnected long before that is read. */
     @Override
     public boolean isConnected() {
-        if (!isFinished()) {
-            onReadable();
+        if (!isFinished() && disconnectDetector.readAll()) {
+            onClientDisconnected();
         }
         return !isFinished();
     }
@@ -102,7 +102,7 @@
     private void onReadable() {
         if (isFinished()) {
             disconnectDetector.stopReading();
-        } else if (disconnectDetector.readAhead()) {
+        } else if (disconnectDetector.readSome()) {
             onClientDisconnected();
         }
     }
--- a/node/src/main/java/fawnlb/client/DisconnectDetector.java
+++ b/node/src/main/java/fawnlb/client/DisconnectDetector.java
@@ -7,6 +7,7 @@
 import io.undertow.util.AttachmentKey;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Detects that a client disconnects while its request is served. Undertow doesn't read a connection meanwhile, so this
@@ -16,6 +17,10 @@
 final class DisconnectDetector {
     /** More than sockets of both sides hold; a client that sends without end must not keep the thread. */
     private static final long MAX_BYTES_PER_CHECK = 16 << 20;
+    /** What is read when the connection is readable: others are to be read too. */
+    private static final long MAX_BYTES_PER_EVENT = 64 << 10;
+    /** How long a client that has sent too much is left unread, so that it does not use up the processor. */
+    private static final long DISCARD_INTERVAL_MILLIS = 10;
 
     private static final int DISCARD_BUFFER_BYTES = 64 * 1024;
     /** The bytes are discarded, so all connections of a thread can share a buffer. */
@@ -27,6 +32,8 @@
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
     private CloseListener closeListener;
+    private boolean hasSentTooMuch;
+    private boolean isStopped;
 
     DisconnectDetector(HttpServerExchange exchange) {
         this.exchange = exchange;
@@ -68,25 +75,50 @@
 
     /** Stops to read, so that bytes of a next request don't wake the I/O thread again and again. */
     void stopReading() {
+        isStopped = true;
         connection.getOriginalSourceConduit().suspendReads();
     }
 
     /** Releases the exchange. The connection doesn't refer to it any more. */
     void release() {
+        isStopped = true;
         if (closeListener != null) {
             closeListener.onClosed = null;
         }
     }
 
     /**
-     * Reads what the client has sent since, and returns whether the client has disconnected. A close stands behind all
-     * that was sent before it, so everything is read that has arrived.
+     * Reads all that has arrived from the client, and returns whether the client has disconnected. A close stands
+     * behind all that was sent before it.
      */
-    boolean readAhead() {
+    boolean readAll() {
+        return readAhead(MAX_BYTES_PER_CHECK);
+    }
+
+    /**
+     * Reads a part of what has arrived from the client, whose connection is readable, and returns whether the client
+     * has disconnected.
+     */
+    boolean readSome() {
+        boolean disconnected = readAhead(MAX_BYTES_PER_EVENT);
+        if (!disconnected && hasSentTooMuch) {
+            connection.getOriginalSourceConduit().suspendReads();
+            exchange.getIoThread().executeAfter(this::resumeReading, DISCARD_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return disconnected;
+    }
+
+    private void resumeReading() {
+        if (!isStopped) {
+            connection.getOriginalSourceConduit().resumeReads();
+        }
+    }
+
+    private boolean readAhead(long maxBytes) {
         PooledByteBuffer pooled = takeReadAheadBuffer();
         ByteBuffer kept = pooled.getBuffer();
         kept.compact();
-        boolean disconnected = readAll(kept);
+        boolean disconnected = readUpTo(maxBytes, kept);
         kept.flip();
         if (!kept.hasRemaining()) {
             pooled.close();
@@ -95,17 +127,16 @@
         return disconnected;
     }
 
-    private boolean readAll(ByteBuffer kept) {
+    private boolean readUpTo(long maxBytes, ByteBuffer kept) {
         int count = 1;
-        for (long total = 0; count > 0 && total < MAX_BYTES_PER_CHECK; total += count) {
+        for (long total = 0; count > 0 && total < maxBytes; total += count) {
             if (!kept.hasRemaining()) {
                 // A client sends one request at a time. From one that sends this much, only the close is of interest.
+                hasSentTooMuch = true;
                 exchange.setPersistent(false);
                 kept.clear();
             }
-            count = exchange.isPersistent()
-                    ? read(kept)
-                    : read(DISCARD_BUFFER.get().clear());
+            count = read(hasSentTooMuch ? DISCARD_BUFFER.get().clear() : kept);
         }
         return count < 0;
     }
