Count the bytes of a head from their end, and only where it is incomplete

Cause: the bytes behind a request, up to 8 KB of further ones, were scanned from their begin for each of them, and a task was left for each to reserve what remained of a head.

Change: they are scanned backwards up to the end of a complete head, and the task is left only where there is none.

--- a/node/src/main/java/fawnlb/client/ClientConnectionTracker.java
+++ b/node/src/main/java/fawnlb/client/ClientConnectionTracker.java
@@ -201,12 +201,11 @@
     private void readNextRequest(StreamConnection connection, HttpServerExchange exchange, NextListener next) {
         connections.enterIfPresent(connection, ConnectionState.READING_HEAD);
         PooledByteBuffer readAhead = ((HttpServerConnection) exchange.getConnection()).getExtraBytes();
-        if (readAhead != null) {
-            ByteBuffer buffer = readAhead.getBuffer();
-            memory.addHeadBytes(connection, buffer, buffer.position(), buffer.limit());
-        }
+        boolean isHeadComplete = readAhead != null && addHeadBytes(connection, readAhead.getBuffer());
         next.proceed();
-        connection.getIoThread().execute(() -> reservePartialHead(connection));
+        if (!isHeadComplete) {
+            connection.getIoThread().execute(() -> reservePartialHead(connection));
+        }
     }
 
     private void closeAfterLastExchange(StreamConnection connection, HttpServerExchange exchange, NextListener next) {
@@ -218,6 +217,10 @@
         }
     }
 
+    private boolean addHeadBytes(StreamConnection connection, ByteBuffer readAhead) {
+        return memory.addHeadBytes(connection, readAhead, readAhead.position(), readAhead.limit());
+    }
+
     /**
      * Runs a task after the I/O thread has polled all sockets, once the connection's client can take more bytes.
      * Undertow would run the next request as a task of the thread, and XNIO polls no socket and runs no timer while it
--- a/node/src/main/java/fawnlb/client/RequestHeadSize.java
+++ b/node/src/main/java/fawnlb/client/RequestHeadSize.java
@@ -1,6 +1,7 @@
 package fawnlb.client;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import java.nio.ByteBuffer;
 import java.util.Deque;
@@ -20,21 +21,52 @@
 
     private static final long PER_BYTE_NUMERATOR = 5;
     private static final long PER_BYTE_DENOMINATOR = 4;
+    private static final long NO_MORE_HEADERS = -1;
 
     private int bytes;
     private int lines;
     private int separators;
 
-    /** Counts the next bytes of a head that is being read. The position of the buffer stays. */
-    void add(ByteBuffer head, int from, int to) {
-        bytes += to - from;
-        for (int i = from; i < to; i++) {
-            switch (head.get(i)) {
-                case '\n' -> lines++;
-                case ';', '&' -> separators++;
-                default -> {}
+    /**
+     * Counts the next bytes that were read, from an index to before another. If a head ends within them, what is behind
+     * its end is all that counts. The position of the buffer stays.
+     *
+     * @return whether a head ends within the bytes
+     */
+    boolean add(ByteBuffer read, int from, int to) {
+        int newLines = 0;
+        int newSeparators = 0;
+        // Backwards: behind a complete head there is little to count.
+        for (int i = to - 1; i >= from; i--) {
+            byte next = read.get(i);
+            if (next == '\n') {
+                if (isEndOfHead(read, from, i)) {
+                    reset();
+                    count(to - 1 - i, newLines, newSeparators);
+                    return true;
+                }
+                newLines++;
+            } else if (next == ';' || next == '&') {
+                newSeparators++;
             }
         }
+        count(to - from, newLines, newSeparators);
+        return false;
+    }
+
+    private void count(int newBytes, int newLines, int newSeparators) {
+        bytes += newBytes;
+        lines += newLines;
+        separators += newSeparators;
+    }
+
+    /** Whether the line feed at an index ends an empty line. */
+    private static boolean isEndOfHead(ByteBuffer read, int from, int lineFeed) {
+        int previous = lineFeed - 1;
+        if (previous >= from && read.get(previous) == '\r') {
+            previous--;
+        }
+        return previous >= from && read.get(previous) == '\n';
     }
 
     /** Starts with the next head. */
@@ -54,11 +86,13 @@
         long bytes = exchange.getRequestURI().length();
         bytes += exchange.getQueryString().length();
         long headers = 0;
-        for (HeaderValues header : exchange.getRequestHeaders()) {
+        HeaderMap headerMap = exchange.getRequestHeaders();
+        for (long i = headerMap.fastIterateNonEmpty(); i != NO_MORE_HEADERS; i = headerMap.fiNextNonEmpty(i)) {
+            HeaderValues header = headerMap.fiCurrent(i);
             headers += header.size();
             bytes += header.getHeaderName().length();
-            for (String value : header) {
-                bytes += value.length();
+            for (int j = 0; j < header.size(); j++) {
+                bytes += header.get(j).length();
             }
         }
         long parameters = count(exchange.getQueryParameters()) + count(exchange.getPathParameters());
@@ -66,7 +100,11 @@
     }
 
     private static long count(Map<String, Deque<String>> parameters) {
-        return parameters.values().stream().mapToLong(Deque::size).sum();
+        long count = 0;
+        for (Deque<String> values : parameters.values()) {
+            count += values.size();
+        }
+        return count;
     }
 
     private static long estimate(long bytes, long headers, long parameters) {
--- a/node/src/main/java/fawnlb/client/RequestMemory.java
+++ b/node/src/main/java/fawnlb/client/RequestMemory.java
@@ -49,12 +49,12 @@
         }
     }
 
-    /** Counts bytes of a head that is being read. */
-    void addHeadBytes(StreamConnection connection, ByteBuffer buffer, int from, int to) {
+    /**
+     * Counts bytes that were read on a connection whose head is not complete, and returns whether a head ends there.
+     */
+    boolean addHeadBytes(StreamConnection connection, ByteBuffer buffer, int from, int to) {
         Reservations reserved = reservations.get(connection);
-        if (reserved != null) {
-            reserved.headSize().add(buffer, from, to);
-        }
+        return reserved != null && reserved.headSize().add(buffer, from, to);
     }
 
     /** Reserves what an incomplete head holds so far. Returns false if there is no room for it. */
--- a/node/src/main/java/fawnlb/http/RequestHeadValidator.java
+++ b/node/src/main/java/fawnlb/http/RequestHeadValidator.java
@@ -57,9 +57,11 @@
     }
 
     private static int countPathParameters(HttpServerExchange exchange) {
-        return exchange.getPathParameters().values().stream()
-                .mapToInt(Deque::size)
-                .sum();
+        int count = 0;
+        for (Deque<String> values : exchange.getPathParameters().values()) {
+            count += values.size();
+        }
+        return count;
     }
 
     private static void validateHeader(HeaderValues header) throws InvalidRequestException {
--- a/node/src/test/java/fawnlb/client/RequestHeadSizeTest.java
+++ b/node/src/test/java/fawnlb/client/RequestHeadSizeTest.java
@@ -1,5 +1,7 @@
 package fawnlb.client;
 
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
 import java.nio.ByteBuffer;
@@ -31,6 +33,22 @@
         assertBetween(144_600, 170_000, estimate("POST /" + ";ab".repeat(930) + " HTTP/1.1\r\n"));
     }
 
+    @Test
+    public void onlyWhatIsBehindACompleteHeadCounts() {
+        RequestHeadSize size = new RequestHeadSize();
+        String rest = "GET /;a;b HTTP/1.1\r\nHost";
+        size.add(ByteBuffer.wrap("x".repeat(1000).getBytes(StandardCharsets.ISO_8859_1)), 0, 1000);
+
+        byte[] read = ("Host: x\r\n".repeat(50) + "\r\n" + rest).getBytes(StandardCharsets.ISO_8859_1);
+        assertTrue(size.add(ByteBuffer.wrap(read), 0, read.length));
+
+        assertEquals(estimate(rest), size.heapBytes());
+        assertFalse(size.add(ByteBuffer.wrap(read), 0, 20));
+        assertTrue(
+                "bare line feeds end a head too",
+                size.add(ByteBuffer.wrap("a\n\n".getBytes(StandardCharsets.ISO_8859_1)), 0, 3));
+    }
+
     @Test
     public void nextHeadIsCountedAnew() {
         RequestHeadSize size = new RequestHeadSize();
