Leave room for 3,200 endpoints also with more descriptors than 1,024

With 4,096 descriptors and the heap of run, connections took so much of the plan that a list of over 3,030 endpoints was refused; fleets of 3,200 are expected. Connections of clients get 18 hundredths of the heap that is left, not a quarter, and the program 6 MB, for the ids that are remembered and the starts of endpoints that are tracked: 3,406 endpoints.

--- a/node/src/main/java/fawnlb/memory/MemoryPlan.java
+++ b/node/src/main/java/fawnlb/memory/MemoryPlan.java
@@ -18,7 +18,7 @@
     /** The rest of the heap is for garbage that has not been collected, and for what one event allocates. */
     private static final double REACHABLE_SHARE_OF_HEAP = 0.7;
     /** What the process holds without clients, backends and endpoints. */
-    private static final long PROCESS_BYTES = 5 << 20;
+    private static final long PROCESS_BYTES = 6 << 20;
     /** An idle connection of a client, with what the HTTP parser keeps between two requests. */
     private static final long CLIENT_CONNECTION_BYTES = 4 << 10;
 
@@ -26,7 +26,7 @@
     /** What one read of a connection to a backend brings, and the head of its response. */
     private static final long RESPONSE_BYTES = 20 << 10;
 
-    private static final double MAX_SHARE_OF_CLIENT_CONNECTIONS = 0.25;
+    private static final double MAX_SHARE_OF_CLIENT_CONNECTIONS = 0.18;
     private static final double MAX_SHARE_OF_BACKEND_CONNECTIONS = 0.33;
     private static final double MAX_SHARE_OF_ENDPOINTS = 0.8;
 
--- a/node/src/test/java/fawnlb/memory/MemoryPlanTest.java
+++ b/node/src/test/java/fawnlb/memory/MemoryPlanTest.java
@@ -24,13 +24,22 @@
         assertTrue(plan.toString(), requestBytes > 5 * MEGABYTE);
     }
 
+    /** More descriptors leave no less room for the endpoint list. */
+    @Test
+    public void deployedHeapHasRoomForTheLargestFleetWithAnyDescriptors() {
+        for (int descriptors = 100; descriptors <= 100_000; descriptors *= 2) {
+            MemoryPlan plan = MemoryPlan.divide(DEPLOYED_HEAP_BYTES, descriptors * 2 / 3, descriptors / 3);
+            assertTrue(plan.toString(), plan.maxEndpoints() >= MAX_EXPECTED_ENDPOINTS);
+        }
+    }
+
     @Test
     public void sumOfAllPartsLeavesAQuarterOfTheHeap() {
         for (int descriptors : new int[] {50, 1000, 100_000}) {
             for (long heapBytes = 24 * MEGABYTE; heapBytes <= 1024 * MEGABYTE; heapBytes *= 2) {
                 MemoryPlan plan = MemoryPlan.divide(heapBytes, descriptors, descriptors);
                 long connectionBytes = 4096L * (plan.maxClientConnections() + plan.maxBackendConnections());
-                assertTrue(plan.toString(), connectionBytes + plan.capacityBytes() + 5 * MEGABYTE <= heapBytes * 3 / 4);
+                assertTrue(plan.toString(), connectionBytes + plan.capacityBytes() + 6 * MEGABYTE <= heapBytes * 3 / 4);
                 assertTrue(plan.toString(), plan.responseBytes() < plan.capacityBytes());
                 assertTrue(plan.toString(), plan.maxEndpoints() > 0);
             }
