Drop chunks, first events and lists when their memory is given back

The heap dump held 110 chunks of 111 to 244 KB, 24 MB, that clients had read, reachable from HttpResponseConduit: Undertow refers to the last buffer that it wrote for as long as the connection is open. It also held first events of attempts that had ended, and 512 KB of a discovery call's buffer.

Change: chunks are written in parts of 16 KB through a buffer of the thread; a chunk is dropped with its exchange, a body with its attempt, the buffer of a list with the list.

ClientExchangeTest.connectionReleasesChunkThatItsClientHasRead failed before.

--- a/node/src/main/java/fawnlb/backend/AttemptExchange.java
+++ b/node/src/main/java/fawnlb/backend/AttemptExchange.java
@@ -319,6 +319,7 @@
         wakeTimer.schedule();
         if (body != null) {
             reporter.recordUsage(body);
+            body = null;
         }
         reporter.reportEnd(stream.attemptEnd(), responseHead);
         endSink();
--- a/node/src/main/java/fawnlb/client/ClientExchange.java
+++ b/node/src/main/java/fawnlb/client/ClientExchange.java
@@ -229,6 +229,9 @@
         }
         disconnectDetector.release();
         formatter.onExchangeFinished(newOutcome, status, cause);
+        if (streamWriter != null) {
+            streamWriter.discardChunk();
+        }
         if (source != null) {
             source.onSinkClosed();
         }
--- a/node/src/main/java/fawnlb/client/ResponseStreamWriter.java
+++ b/node/src/main/java/fawnlb/client/ResponseStreamWriter.java
@@ -16,6 +16,9 @@
 
     private static final int EVENT_END_CRLF = 0x0d0a0d0a;
     private static final int LAST_TWO_BYTES = 0xffff;
+    private static final int PART_BYTES = 16 * 1024;
+    private static final ThreadLocal<ByteBuffer> PART =
+            ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(PART_BYTES));
 
     private final StreamSinkChannel channel;
     private ByteBuffer chunk;
@@ -52,7 +55,7 @@
      */
     int write() throws IOException {
         while (chunk != null && chunk.hasRemaining()) {
-            if (channel.write(chunk) == 0) {
+            if (writePart() == 0) {
                 return chunk.remaining();
             }
         }
@@ -63,11 +66,29 @@
         return 0;
     }
 
+    /**
+     * Writes a part of the chunk from a buffer of the thread. Undertow refers to the last buffer that was written for
+     * as long as the connection is open, which would keep whole chunks in memory that their clients have long read.
+     */
+    private int writePart() throws IOException {
+        ByteBuffer part = PART.get().clear();
+        int size = Math.min(part.capacity(), chunk.remaining());
+        part.put(chunk.duplicate().limit(chunk.position() + size)).flip();
+        int written = channel.write(part);
+        chunk.position(chunk.position() + written);
+        return written;
+    }
+
     /** Asks to be called when the client can take more bytes. */
     void resumeWrites() {
         channel.resumeWrites();
     }
 
+    /** Drops a chunk that is not written to its end, because the response ends here. */
+    void discardChunk() {
+        chunk = null;
+    }
+
     /** Forgets the chunk, which must have been written. Returns whether there was one. */
     boolean finishChunk() {
         boolean hadChunk = chunk != null;
--- a/node/src/main/java/fawnlb/discovery/WatchEventReader.java
+++ b/node/src/main/java/fawnlb/discovery/WatchEventReader.java
@@ -16,7 +16,7 @@
     private static final WatchEvent HEARTBEAT = new WatchEvent.Heartbeat();
 
     private final int maxObjectBytes;
-    private final ByteArrayOutputStream object = new ByteArrayOutputStream();
+    private ByteArrayOutputStream object = new ByteArrayOutputStream();
     private int depth;
     private boolean inString;
     private boolean escaped;
@@ -92,7 +92,8 @@
             depth++;
         } else if ((next == '}' || next == ']') && --depth == 0) {
             events.add(new WatchEvent.JsonObject(object.toString(StandardCharsets.UTF_8)));
-            object.reset();
+            // A whole list may be large, and the changes that follow it are small.
+            object = new ByteArrayOutputStream();
         }
     }
 
--- a/node/src/test/java/fawnlb/client/ClientExchangeTest.java
+++ b/node/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -9,6 +9,7 @@
 import java.io.InputStream;
 import java.lang.ref.WeakReference;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -24,6 +25,7 @@
     /** More than a few reads bring, and less than the kernel takes at once. */
     private static final int UNREAD_BYTES = 60_000;
 
+    private static final int LARGE_CHUNK_BYTES = 200_000;
     private static final String REQUEST = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
     private static final String CLOSING_REQUEST = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 
@@ -131,6 +133,48 @@
         }
     }
 
+    /** Sends one large chunk, and then nothing. */
+    private static final class OneChunkSource implements ResponseSource {
+        private final CountDownLatch written = new CountDownLatch(1);
+        private volatile WeakReference<byte[]> chunk;
+
+        @Override
+        public void streamTo(Sink sink) {
+            byte[] bytes = new byte[LARGE_CHUNK_BYTES];
+            chunk = new WeakReference<>(bytes);
+            sink.onChunk(ByteBuffer.wrap(bytes));
+        }
+
+        @Override
+        public void requestNextChunk() {
+            written.countDown();
+        }
+
+        @Override
+        public void onUnsentBytes(int unsentBytes) {}
+
+        @Override
+        public void onSinkClosed() {}
+    }
+
+    /** Guards against chunks that connections kept reachable after their memory had been released. */
+    @Test
+    public void connectionReleasesChunkThatItsClientHasRead() throws Exception {
+        OneChunkSource source = new OneChunkSource();
+        try (ExchangeServer server = new ExchangeServer(exchange -> {
+                    ClientExchange client = createExchange(exchange);
+                    client.attach(() -> {});
+                    client.streamResponse(source);
+                });
+                Socket client = server.connect()) {
+            ExchangeServer.send(client, REQUEST);
+            assertEquals(LARGE_CHUNK_BYTES, client.getInputStream().readNBytes(LARGE_CHUNK_BYTES).length);
+            assertTrue(source.written.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+
+            assertEquals(0, countReachable(List.of(source.chunk), 0));
+        }
+    }
+
     private static void readRejection(InputStream input) throws Exception {
         StringBuilder response = new StringBuilder();
         while (!response.toString().endsWith("no\n")) {
@@ -139,7 +183,7 @@
     }
 
     /** Collects garbage until at most {@code expected} references are left, or the timeout has passed. */
-    private static long countReachable(List<WeakReference<ClientExchange>> references, long expected) {
+    private static <T> long countReachable(List<WeakReference<T>> references, long expected) {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         long reachable = references.size();
         while (reachable > expected && System.nanoTime() < end) {
