--- a/node/src/main/java/fawnlb/backend/AttemptExchange.java
+++ b/node/src/main/java/fawnlb/backend/AttemptExchange.java
@@ -5,6 +5,7 @@
 import fawnlb.proxy.Backends;
 import fawnlb.proxy.ResponseSource;
 import fawnlb.stream.EndReason;
+import fawnlb.stream.EventProgress;
 import fawnlb.stream.ResponseStream;
 import fawnlb.stream.StreamParameters;
 import fawnlb.stream.StreamRegistry;
@@ -124,16 +125,17 @@
         }
         try {
             tail.add(bytes);
-            deliver(body.feed(bytes));
+            EventProgress events = body.scan(bytes);
+            deliver(body.feed(bytes), events);
         } catch (IOException e) {
             abort(EndReason.MALFORMED);
         }
     }
 
     @Override
-    public void onFraming() {
+    public void onFraming(int wellFormedBytes) {
         if (body != null) {
-            stream.onPartialData(now());
+            stream.onFraming(now(), wellFormedBytes);
         }
     }
 
@@ -145,21 +147,21 @@
         }
     }
 
-    private void deliver(ByteBuffer bytes) {
+    private void deliver(ByteBuffer bytes, EventProgress events) {
         if (!bytes.hasRemaining()) {
-            stream.onPartialData(now());
+            stream.onPartialData(now(), events);
             stream.setHeapBytes(body.heapBytes());
             stream.setBufferedBytes(body.bufferedBytes());
             resumeReading();
             return;
         }
-        reportChunk(bytes);
+        reportChunk(bytes, events);
         handoff.pass(bytes);
     }
 
-    private void reportChunk(ByteBuffer bytes) {
+    private void reportChunk(ByteBuffer bytes, EventProgress events) {
         stream.setHeapBytes(bytes.capacity() + body.heapBytes());
-        stream.onChunk(now(), bytes.remaining());
+        stream.onChunk(now(), bytes.remaining(), events);
         reportResponse();
     }
 
@@ -205,7 +207,7 @@
             ByteBuffer remainder = body.finish();
             if (remainder.hasRemaining()) {
                 stream.setBufferedBytes(0);
-                reportChunk(remainder);
+                reportChunk(remainder, EventProgress.NONE);
                 handoff.pass(remainder);
             }
             return true;
@@ -259,16 +261,20 @@
      * is relayed instead of being cut.
      */
     void cancel(EndReason reason) {
-        if (!isFinished() && reason == EndReason.TIMED_OUT && body != null && body.hasPartialFirstEvent()) {
+        if (!isFinished() && reason == EndReason.TIMED_OUT && isFirstEventArriving()) {
             // The next bytes were asked for already, and must not be read before the sink has taken these.
             connection().pauseReading();
-            deliver(body.releaseFirstEvent());
+            deliver(body.releaseFirstEvent(), body.eventProgress());
             return;
         }
         abort(reason);
         closeStream();
     }
 
+    private boolean isFirstEventArriving() {
+        return body != null && body.hasPartialFirstEvent() && stream.isFirstEventArriving(now());
+    }
+
     private void closeStream() {
         handoff.dropPending();
         stream.close();
--- a/node/src/main/java/fawnlb/backend/BufferedBody.java
+++ b/node/src/main/java/fawnlb/backend/BufferedBody.java
@@ -20,7 +20,7 @@
 
     /** The parser is null where nobody needs the answer's usage. */
     BufferedBody(ResponseTranslator usageParser) {
-        super(usageParser);
+        super(usageParser, null);
     }
 
     @Override
--- a/node/src/main/java/fawnlb/backend/RelayedBody.java
+++ b/node/src/main/java/fawnlb/backend/RelayedBody.java
@@ -1,6 +1,8 @@
 package fawnlb.backend;
 
+import fawnlb.stream.EventProgress;
 import fawnlb.translation.Dialect;
+import fawnlb.translation.EventScanner;
 import fawnlb.translation.ResponseTranslator;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -14,9 +16,12 @@
 
     /** Translates the body or reads along; null where nobody needs its content. */
     private final ResponseTranslator parser;
+    /** Null for a body that is no stream of events. */
+    private final EventScanner scanner;
 
-    RelayedBody(ResponseTranslator parser) {
+    RelayedBody(ResponseTranslator parser, EventScanner scanner) {
         this.parser = parser;
+        this.scanner = scanner;
     }
 
     /**
@@ -29,20 +34,42 @@
     static RelayedBody create(
             OutboundRequest request, Dialect backendDialect, int status, ResponseKind kind, ResponseTail tail) {
         boolean isError = kind == ResponseKind.CLIENT_ERROR;
+        EventScanner scanner = request.isStreamed() && !isError ? new EventScanner(backendDialect) : null;
         if (backendDialect != request.dialect()) {
             return new TranslatedBody(
                     isError
                             ? ResponseTranslator.forError(request.dialect(), status)
-                            : ResponseTranslator.create(backendDialect, request.dialect(), request.isStreamed()));
+                            : ResponseTranslator.create(backendDialect, request.dialect(), request.isStreamed()),
+                    scanner);
         }
         ResponseTranslator usageParser = isError || !request.responseSummary().collectsUsage()
                 ? null
                 : ResponseTranslator.create(backendDialect, backendDialect, request.isStreamed());
-        return request.isStreamed() && !isError
-                ? new StreamedBody(usageParser, backendDialect, tail)
+        return scanner != null
+                ? new StreamedBody(usageParser, scanner, backendDialect, tail)
                 : new BufferedBody(usageParser);
     }
 
+    /** Looks at the next bytes of the backend, before {@link #feed}, and returns how far the events have come. */
+    final EventProgress scan(ByteBuffer bytes) {
+        if (scanner != null) {
+            scanner.scan(bytes);
+        }
+        return eventProgress();
+    }
+
+    /** How far the events have come with the bytes that were looked at last. */
+    final EventProgress eventProgress() {
+        return scanner == null
+                ? EventProgress.NONE
+                : new EventProgress(
+                        scanner.completedEvents(),
+                        scanner.largestEventBytes(),
+                        scanner.partialEventBytes(),
+                        scanner.isPartialEventSound(),
+                        scanner.isLastEventComplete());
+    }
+
     /**
      * Takes the next bytes of the backend and returns what the client gets for them, perhaps nothing yet.
      *
--- a/node/src/main/java/fawnlb/backend/StreamedBody.java
+++ b/node/src/main/java/fawnlb/backend/StreamedBody.java
@@ -1,6 +1,7 @@
 package fawnlb.backend;
 
 import fawnlb.translation.Dialect;
+import fawnlb.translation.EventScanner;
 import fawnlb.translation.FirstEventBuffer;
 import fawnlb.translation.MalformedResponseBodyException;
 import fawnlb.translation.ResponseTranslator;
@@ -14,8 +15,8 @@
     private final FirstEventBuffer firstEventBuffer = new FirstEventBuffer();
 
     /** The parser is null where nobody needs the stream's usage. */
-    StreamedBody(ResponseTranslator usageParser, Dialect dialect, ResponseTail tail) {
-        super(usageParser);
+    StreamedBody(ResponseTranslator usageParser, EventScanner scanner, Dialect dialect, ResponseTail tail) {
+        super(usageParser, scanner);
         this.dialect = dialect;
         this.tail = tail;
     }
--- a/node/src/main/java/fawnlb/backend/TranslatedBody.java
+++ b/node/src/main/java/fawnlb/backend/TranslatedBody.java
@@ -1,5 +1,6 @@
 package fawnlb.backend;
 
+import fawnlb.translation.EventScanner;
 import fawnlb.translation.ResponseTranslator;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -8,8 +9,9 @@
 final class TranslatedBody extends RelayedBody {
     private final ResponseTranslator translator;
 
-    TranslatedBody(ResponseTranslator translator) {
-        super(translator);
+    /** The scanner is null for a body that is no stream of events. */
+    TranslatedBody(ResponseTranslator translator, EventScanner scanner) {
+        super(translator, scanner);
         this.translator = translator;
     }
 
--- a/node/src/main/java/fawnlb/http/BodyFraming.java
+++ b/node/src/main/java/fawnlb/http/BodyFraming.java
@@ -16,7 +16,12 @@
 
     private static final int DECIMAL = 10;
     private static final int HEXADECIMAL = 16;
+    private static final int BITS_PER_HEXADECIMAL_DIGIT = 4;
     private static final int FIRST_NON_ASCII = 0x80;
+    /** A size line with no more digits than this, or than the largest chunk's so far, is like any other. */
+    private static final int MIN_USUAL_SIZE_DIGITS = 3;
+
+    private static final String SIZE_END_CHARACTERS = "; \t\r";
     /** How much of a malformed length an error message quotes. */
     private static final int MAX_QUOTED_CHARACTERS = 40;
 
@@ -34,6 +39,8 @@
     private final long maxChunkBytes;
     private State state;
     private long remainingBytes;
+    private int usualSizeDigits = MIN_USUAL_SIZE_DIGITS;
+    private int wellFormedFramingBytes;
 
     private BodyFraming(State state, long remainingBytes, long maxChunkBytes) {
         this.state = state;
@@ -67,6 +74,7 @@
      * @throws MalformedMessageException if the framing can't be parsed
      */
     void decode(ByteBuffer input, ByteBuffer output) throws MalformedMessageException {
+        wellFormedFramingBytes = 0;
         while (state != State.COMPLETE && input.hasRemaining()) {
             switch (state) {
                 case FIXED_LENGTH, CHUNK_DATA, UNTIL_CLOSE -> {
@@ -104,14 +112,59 @@
         }
     }
 
+    /**
+     * How many bytes of the latest input were part of a size line without extension and with no more digits than usual,
+     * or of a line end. A message that is written slowly consists of these and its content alone.
+     */
+    int wellFormedFramingBytes() {
+        return wellFormedFramingBytes;
+    }
+
     private void readFramingLine(ByteBuffer input) throws MalformedMessageException {
+        int start = input.position();
         String line = lines.readLine(input);
+        String readSoFar = line == null ? lines.partialLine().toString() : line;
+        if (isUsual(readSoFar)) {
+            wellFormedFramingBytes += input.position() - start;
+        }
         if (line != null) {
             onLine(line);
-        } else if (state == State.CHUNK_END
-                && !"\r".startsWith(lines.partialLine().toString())) {
+        } else {
+            checkPartialLine(readSoFar);
+        }
+    }
+
+    private boolean isUsual(String line) {
+        String text = line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
+        int maxLength = state == State.CHUNK_SIZE ? usualSizeDigits : 0;
+        return text.length() <= maxLength && countDigits(text) == text.length();
+    }
+
+    private static int countDigits(String text) {
+        int count = 0;
+        while (count < text.length() && isDigit(text.charAt(count), HEXADECIMAL)) {
+            count++;
+        }
+        return count;
+    }
+
+    /** Rejects as soon as possible what no end of the line can make right: it may never come. */
+    private void checkPartialLine(String partialLine) throws MalformedMessageException {
+        if (state == State.CHUNK_END && !"\r".startsWith(partialLine)) {
             throw chunkTooLong();
         }
+        if (state == State.CHUNK_SIZE) {
+            checkPartialSize(partialLine);
+        }
+    }
+
+    private void checkPartialSize(String partialLine) throws MalformedMessageException {
+        int digits = countDigits(partialLine);
+        boolean hasOtherCharacter = digits < partialLine.length();
+        if (hasOtherCharacter && SIZE_END_CHARACTERS.indexOf(partialLine.charAt(digits)) < 0) {
+            throw notALength(partialLine);
+        }
+        checkChunkSize(parseLength(partialLine.substring(0, digits), HEXADECIMAL));
     }
 
     private void onLine(String line) throws MalformedMessageException {
@@ -135,12 +188,22 @@
     }
 
     private void beginChunk(long sizeBytes) throws MalformedMessageException {
+        checkChunkSize(sizeBytes);
         remainingBytes = sizeBytes;
+        usualSizeDigits = Math.max(usualSizeDigits, hexadecimalDigits(sizeBytes));
+        state = sizeBytes == 0 ? State.TRAILERS : State.CHUNK_DATA;
+        lines.resetLimit();
+    }
+
+    private void checkChunkSize(long sizeBytes) throws MalformedMessageException {
         if (sizeBytes > maxChunkBytes) {
             throw new MalformedMessageException("chunk of " + sizeBytes + " bytes");
         }
-        state = sizeBytes == 0 ? State.TRAILERS : State.CHUNK_DATA;
-        lines.resetLimit();
+    }
+
+    private static int hexadecimalDigits(long value) {
+        int bits = Long.SIZE - Long.numberOfLeadingZeros(value);
+        return (bits + BITS_PER_HEXADECIMAL_DIGIT - 1) / BITS_PER_HEXADECIMAL_DIGIT;
     }
 
     private static MalformedMessageException chunkTooLong() {
@@ -150,11 +213,19 @@
     private static long parseLength(String text, int radix) throws MalformedMessageException {
         boolean isPlainNumber = !text.isEmpty()
                 && text.length() <= MAX_LENGTH_DIGITS
-                && text.chars().allMatch(c -> c < FIRST_NON_ASCII && Character.digit(c, radix) >= 0);
+                && text.chars().allMatch(c -> isDigit((char) c, radix));
         if (!isPlainNumber) {
-            throw new MalformedMessageException(
-                    "not a length: '" + text.substring(0, Math.min(MAX_QUOTED_CHARACTERS, text.length())) + "'");
+            throw notALength(text);
         }
         return Long.parseLong(text, radix);
     }
+
+    private static boolean isDigit(char character, int radix) {
+        return character < FIRST_NON_ASCII && Character.digit(character, radix) >= 0;
+    }
+
+    private static MalformedMessageException notALength(String text) {
+        return new MalformedMessageException(
+                "not a length: '" + text.substring(0, Math.min(MAX_QUOTED_CHARACTERS, text.length())) + "'");
+    }
 }
--- a/node/src/main/java/fawnlb/http/HttpClientConnection.java
+++ b/node/src/main/java/fawnlb/http/HttpClientConnection.java
@@ -51,8 +51,11 @@
         /**
          * Called when bytes of the response came that are no part of its head or body, such as a part of a chunk's
          * size. The next bytes are read without being asked for.
+         *
+         * @param wellFormedBytes how many of them are such as the framing of the response's other chunks has; the rest
+         *     are extensions, trailers and longer sizes
          */
-        default void onFraming() {}
+        default void onFraming(int wellFormedBytes) {}
 
         /**
          * Called when the response is complete.
@@ -285,7 +288,7 @@
             channel.getSourceChannel().suspendReads();
             responseHandler.onBody(body);
         } else if (headDelivered && !isComplete) {
-            responseHandler.onFraming();
+            responseHandler.onFraming(parser.wellFormedFramingBytes());
         }
         if (isComplete) {
             complete();
--- a/node/src/main/java/fawnlb/http/ResponseParser.java
+++ b/node/src/main/java/fawnlb/http/ResponseParser.java
@@ -24,6 +24,9 @@
     /** Backends send events of a few hundred bytes each, so a chunk larger than this is not one of theirs. */
     private static final long MAX_CHUNK_BYTES = 1 << 20;
 
+    /** No answer or list is longer; a server that declares more would never get to the end of it. */
+    private static final long MAX_DECLARED_BODY_BYTES = 16 << 20;
+
     private static final String VERSION_PREFIX = "HTTP/1.";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([1-5][0-9][0-9])( .*)?");
     private static final int FIRST_FINAL_STATUS = 200;
@@ -83,6 +86,11 @@
         return surplusBytes;
     }
 
+    /** How many bytes of the latest input were framing such as the response's other chunks have. */
+    int wellFormedFramingBytes() {
+        return framing.wellFormedFramingBytes();
+    }
+
     /** Status and headers, or null as long as they are not complete. */
     ResponseHead head() {
         return head;
@@ -186,7 +194,7 @@
             return BodyFraming.chunked(MAX_CHUNK_BYTES);
         }
         if (contentLength != null) {
-            return BodyFraming.fixedLength(BodyFraming.parseContentLength(contentLength));
+            return BodyFraming.fixedLength(parseDeclaredLength(contentLength));
         }
         if (keepAlive) {
             // Nothing would tell the end of this response from a truncation, or a lost framing header from none.
@@ -194,4 +202,12 @@
         }
         return BodyFraming.untilClose();
     }
+
+    private static long parseDeclaredLength(String contentLength) throws MalformedMessageException {
+        long lengthBytes = BodyFraming.parseContentLength(contentLength);
+        if (lengthBytes > MAX_DECLARED_BODY_BYTES) {
+            throw new MalformedMessageException("body of " + lengthBytes + " bytes");
+        }
+        return lengthBytes;
+    }
 }
--- a/node/src/main/java/fawnlb/stream/AttemptEnd.java
+++ b/node/src/main/java/fawnlb/stream/AttemptEnd.java
@@ -18,9 +18,9 @@
         return reason.dependsOnProgress() ? reason.label() + '-' + progress.label() : reason.label();
     }
 
-    /** Whether the backend sent nothing in time, rather than something wrong. */
+    /** Whether the backend sent no event in time, rather than something that can't be read. */
     public boolean isTimeout() {
-        return reason == EndReason.STALLED || reason == EndReason.TIMED_OUT;
+        return reason == EndReason.STALLED || reason == EndReason.NO_PROGRESS || reason == EndReason.TIMED_OUT;
     }
 
     /** What the load balancer gets to know of the attempt's end. */
--- a/node/src/main/java/fawnlb/stream/EndReason.java
+++ b/node/src/main/java/fawnlb/stream/EndReason.java
@@ -21,6 +21,8 @@
     NOT_SENT("not-sent", AttemptOutcome.NEVER_SENT, false),
     /** The backend's connection stayed open and was silent for too long. */
     STALLED("stalled", AttemptOutcome.STALLED, true),
+    /** The backend sent bytes for too long that became no event of the answer. */
+    NO_PROGRESS("no-progress", AttemptOutcome.STALLED, true),
     /** The backend's connection was closed or reset. */
     CONNECTION_LOST("broken", AttemptOutcome.RESET, true),
     /** The response can't be read, or is longer than is buffered. */
--- a/node/src/main/java/fawnlb/stream/ResponseStream.java
+++ b/node/src/main/java/fawnlb/stream/ResponseStream.java
@@ -14,17 +14,6 @@
     /** The time of something that is not expected to happen. */
     public static final long NEVER = Long.MAX_VALUE;
 
-    /**
-     * A wake that comes this much later than asked for comes from a thread that was held up, and that may not have read
-     * yet what arrived meanwhile. It is put off by the delay below, so that the thread can read first.
-     */
-    private static final long LATE_WAKE_NANOS = 100_000_000;
-
-    private static final long RECHECK_DELAY_NANOS = 50_000_000;
-
-    /** On a thread that is always late, the stream must end all the same. */
-    private static final int MAX_RECHECKS = 4;
-
     /** A client that has read nothing for this long has stopped reading, for the time being. */
     private static final long CLIENT_IDLE_NANOS = 1_000_000_000;
 
@@ -32,18 +21,21 @@
     private final long backendId;
     private final StreamRegistry.Owner owner;
     private final SilenceDetector silence;
+    private final ProgressDetector eventProgress;
+    private final boolean isEventStream;
     private final MemoryReservation memory;
     private StreamState state = StreamState.AWAITING_HEAD;
     private ResponseProgress progress = ResponseProgress.BEFORE_HEAD;
     private AttemptEnd attemptEnd;
     private long bufferedBytes;
     private boolean isAwaitingBackend = true;
+    /** When the client was given the latest chunk. */
+    private long chunkAtNanos;
+
     private boolean isClientBehind;
     private long clientProgressAtNanos;
     private boolean isClientStallReported;
-    private int rechecks;
-    private long recheckAtNanos;
-    private long plannedWakeNanos = NEVER;
+    private final LateWakeGuard lateWakeGuard = new LateWakeGuard();
     /** When a silence of the backend has ended the stream, 0 while none has. */
     private long silenceTimeoutAtNanos;
 
@@ -53,6 +45,8 @@
         this.owner = owner;
         this.memory = registry.openReservation();
         this.silence = new SilenceDetector(registry, parameters, nowNanos);
+        this.eventProgress = new ProgressDetector(nowNanos, registry.timeouts().maxSilenceNanos());
+        this.isEventStream = parameters.isEventStream();
     }
 
     long backendId() {
@@ -92,37 +86,57 @@
 
     /** The head of a response was read. It is an answer if its body goes to the client. */
     public void onHead(long nowNanos, boolean isAnswer) {
-        restartSilence(nowNanos);
+        silence.restart(nowNanos);
+        eventProgress.restart(nowNanos);
+        lateWakeGuard.reset();
         if (isAnswer) {
             progress = ResponseProgress.BEFORE_FIRST_EVENT;
         }
         apply(isAnswer ? StreamEvent.RESPONSE_HEAD : StreamEvent.ERROR_HEAD);
     }
 
+    /**
+     * Bytes were read that are no part of the body, such as a part of a chunk's size.
+     *
+     * @param wellFormedBytes how many of them are such as the framing of the answer's other chunks has
+     */
+    public void onFraming(long nowNanos, int wellFormedBytes) {
+        eventProgress.onFraming(nowNanos, wellFormedBytes);
+        onNothingForClient(nowNanos);
+    }
+
     /** Bytes were read that hold nothing for the client yet; the next are waited for. */
-    public void onPartialData(long nowNanos) {
-        restartSilence(nowNanos);
+    public void onPartialData(long nowNanos, EventProgress events) {
+        takeEvents(nowNanos, events);
+        onNothingForClient(nowNanos);
+    }
+
+    private void takeEvents(long nowNanos, EventProgress events) {
+        eventProgress.onEvents(nowNanos, events);
+        if (events.completedEvents() > 0) {
+            lateWakeGuard.reset();
+        }
+    }
+
+    private void onNothingForClient(long nowNanos) {
+        silence.restart(nowNanos);
         boolean endsStallBeforeFirstEvent =
                 state == StreamState.STALLED && progress == ResponseProgress.BEFORE_FIRST_EVENT;
         apply(endsStallBeforeFirstEvent ? StreamEvent.RESPONSE_HEAD : StreamEvent.PARTIAL_DATA);
     }
 
     /** Bytes for the client were read. The backend is not waited for until the client has read them. */
-    public void onChunk(long nowNanos, int bytes) {
+    public void onChunk(long nowNanos, int bytes, EventProgress events) {
+        takeEvents(nowNanos, events);
         silence.recordChunk(nowNanos, progress);
+        chunkAtNanos = nowNanos;
         progress = ResponseProgress.AFTER_FIRST_EVENT;
-        restartSilence(nowNanos);
+        silence.restart(nowNanos);
         isAwaitingBackend = false;
         changeBufferedBytes(bytes);
         apply(StreamEvent.CHUNK);
     }
 
-    private void restartSilence(long nowNanos) {
-        silence.restart(nowNanos);
-        rechecks = 0;
-        recheckAtNanos = 0;
-    }
-
     /**
      * Sets how much of the heap the bytes that are not yet with the client hold, their copies and the unused parts of
      * their buffers included. To be called before the report of these bytes; it is 0 again when the client has all.
@@ -169,7 +183,7 @@
         recordEnd(reason);
         isAwaitingBackend = false;
         boolean hasClientData = progress == ResponseProgress.AFTER_FIRST_EVENT;
-        if (reason == EndReason.STALLED && !hasClientData && silenceTimeoutAtNanos > 0) {
+        if (attemptEnd.isTimeout() && !hasClientData && silenceTimeoutAtNanos > 0) {
             silence.recordAbandonedWait(silenceTimeoutAtNanos);
         }
         apply(StreamEvent.BACKEND_ENDED);
@@ -182,7 +196,8 @@
 
     /** The client has read all that was sent to it; the backend is waited for from now on. */
     public void onClientCaughtUp(long nowNanos) {
-        restartSilence(nowNanos);
+        silence.restart(nowNanos);
+        eventProgress.excludeNanos(nowNanos - chunkAtNanos);
         isClientBehind = false;
         isAwaitingBackend = attemptEnd == null;
         registry.bufferLimit().onClientCaughtUp(this);
@@ -232,8 +247,9 @@
 
     /** Returns when to call {@link #wake}, {@link #NEVER} if not before the next report. */
     public long wakeAtNanos() {
-        plannedWakeNanos = dueAtNanos();
-        return plannedWakeNanos;
+        long wakeAtNanos = dueAtNanos();
+        lateWakeGuard.plan(wakeAtNanos);
+        return wakeAtNanos;
     }
 
     private long dueAtNanos() {
@@ -241,9 +257,9 @@
             return NEVER;
         }
         if (isClientBehind) {
-            return Math.max(recheckAtNanos, clientDueAtNanos());
+            return lateWakeGuard.earliest(clientDueAtNanos());
         }
-        return isAwaitingBackend ? Math.max(recheckAtNanos, backendDueAtNanos()) : NEVER;
+        return isAwaitingBackend ? lateWakeGuard.earliest(backendDueAtNanos()) : NEVER;
     }
 
     private long clientDueAtNanos() {
@@ -257,13 +273,26 @@
     private long backendDueAtNanos() {
         return switch (state) {
             case DISCARDING_BODY -> NEVER;
-            case STALLED -> silenceLimitNanos();
-            default -> Math.min(silenceLimitNanos(), silence.suspectedAtNanos(progress));
+            case STALLED -> backendLimitNanos();
+            default -> Math.min(backendLimitNanos(), silence.suspectedAtNanos(progress));
         };
     }
 
+    private long backendLimitNanos() {
+        return Math.min(silenceLimitNanos(), eventLimitNanos());
+    }
+
     private long silenceLimitNanos() {
-        return silence.limitNanos(progress, bufferedBytes != 0);
+        return silence.limitNanos(progress, isEventStream ? eventProgress.hasPartialEvent() : bufferedBytes != 0);
+    }
+
+    private long eventLimitNanos() {
+        return isEventStream && progress != ResponseProgress.BEFORE_HEAD ? eventProgress.limitNanos() : NEVER;
+    }
+
+    /** Whether a part of the first event has come just now, so that the rest of it may be expected. */
+    public boolean isFirstEventArriving(long nowNanos) {
+        return progress == ResponseProgress.BEFORE_FIRST_EVENT && eventProgress.isEventArriving(nowNanos);
     }
 
     /** Looks for a silence of the backend or the client that has lasted too long; calls before the time do nothing. */
@@ -271,10 +300,10 @@
         if (nowNanos < dueAtNanos()) {
             return;
         }
-        if (nowNanos - plannedWakeNanos > LATE_WAKE_NANOS && rechecks < MAX_RECHECKS) {
-            rechecks++;
-            recheckAtNanos = nowNanos + RECHECK_DELAY_NANOS;
-        } else if (isClientBehind) {
+        if (lateWakeGuard.isPutOff(nowNanos)) {
+            return;
+        }
+        if (isClientBehind) {
             checkClient();
         } else {
             checkBackend(nowNanos);
@@ -295,9 +324,14 @@
 
     private void checkBackend(long nowNanos) {
         apply(StreamEvent.SILENCE_SUSPECTED);
-        if (nowNanos >= silenceLimitNanos()) {
+        if (nowNanos >= backendLimitNanos()) {
             silenceTimeoutAtNanos = nowNanos;
-            abandon(EndReason.STALLED, StreamEvent.SILENCE_TIMEOUT);
+            abandon(isBackendSilent(nowNanos) ? EndReason.STALLED : EndReason.NO_PROGRESS, StreamEvent.SILENCE_TIMEOUT);
         }
     }
+
+    /** Whether nothing has come since the latest progress, rather than bytes that are none. */
+    private boolean isBackendSilent(long nowNanos) {
+        return nowNanos >= silenceLimitNanos() || ProgressDetector.isSilent(nowNanos, silence.sinceNanos());
+    }
 }
--- a/node/src/main/java/fawnlb/stream/SilenceDetector.java
+++ b/node/src/main/java/fawnlb/stream/SilenceDetector.java
@@ -30,6 +30,11 @@
         silenceSinceNanos = nowNanos;
     }
 
+    /** When the backend has sent something last, or was waited for again. */
+    long sinceNanos() {
+        return silenceSinceNanos;
+    }
+
     /** Learns from the silence that a chunk for the client has ended; to be called before {@link #restart}. */
     void recordChunk(long nowNanos, ResponseProgress progress) {
         if (!parameters.isEventStream()) {
@@ -74,8 +79,7 @@
     /**
      * When the present silence ends the stream; {@link ResponseStream#NEVER} if only the load balancer's deadline does.
      *
-     * @param hasPartialEvent whether a part of the first event has come: such a stream is sound while bytes come, and
-     *     only the silence between them counts
+     * @param hasPartialEvent whether a part of the first event has come: such a stream is not ended early for a retry
      */
     long limitNanos(ResponseProgress progress, boolean hasPartialEvent) {
         return switch (progress) {
--- a/node/src/test/java/fawnlb/http/HttpClientConnectionTest.java
+++ b/node/src/test/java/fawnlb/http/HttpClientConnectionTest.java
@@ -57,7 +57,7 @@
         void beforeNextPart() {}
 
         @Override
-        public void onFraming() {
+        public void onFraming(int wellFormedBytes) {
             events.add(name + " framing");
             framingReceived.countDown();
         }
--- a/node/src/test/java/fawnlb/http/ResponseParserTest.java
+++ b/node/src/test/java/fawnlb/http/ResponseParserTest.java
@@ -76,6 +76,12 @@
         OK + "Transfer-Encoding: chunked\r\n\r\n\r\na",
         OK + "Transfer-Encoding: chunked\r\n\r\nc0000000\r\n",
         OK + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+        OK + "Transfer-Encoding: chunked\r\n\r\nc0000000;",
+        OK + "Transfer-Encoding: chunked\r\n\r\n0000c00000",
+        OK + "Transfer-Encoding: chunked\r\n\r\n0000000000000000",
+        OK + "Transfer-Encoding: chunked\r\n\r\n1z",
+        OK + "Transfer-Encoding: chunked\r\n\r\n;a",
+        OK + "Content-Length: 3221225472\r\n\r\n",
         OK + "Transfer-Encoding: chunked\r\n\r\n1\r\na\n0\r\n\r\n",
         OK + "Transfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n",
         OK + "Transfer-Encoding: chunked\r\n\r\n1;" + "x".repeat(5000),
@@ -162,4 +168,27 @@
             assertFalse(in, parser.onEndOfInput());
         }
     }
+
+    /** Framing behind one chunk of three bytes, and how many of its bytes are such as a backend's chunks have. */
+    private record Framing(String text, int wellFormedBytes) {}
+
+    @Test
+    public void framingOfUsualChunksIsDistinguishedFromOther() throws MalformedResponseException {
+        for (Framing framing : List.of(
+                new Framing("\r\n", 2),
+                new Framing("\r\n1a", 4),
+                new Framing("\r\n1a\r", 5),
+                new Framing("\r\n0000", 2),
+                new Framing("\r\n1;", 2),
+                new Framing("\r\n0\r\n\r", 6),
+                new Framing("\r\n0\r\nx:", 5))) {
+            ResponseParser parser = new ResponseParser();
+            ByteBuffer body = ByteBuffer.allocate(100);
+            parser.parse(bytes(OK + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc"), body);
+
+            parser.parse(bytes(framing.text()), body);
+
+            assertEquals(framing.text(), framing.wellFormedBytes(), parser.wellFormedFramingBytes());
+        }
+    }
 }
--- a/node/src/test/java/fawnlb/stream/AttemptEndTest.java
+++ b/node/src/test/java/fawnlb/stream/AttemptEndTest.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import static fawnlb.stream.StreamHarness.ONE_EVENT;
 import static org.junit.Assert.assertEquals;
 
 import fawnlb.decision.AttemptOutcome;
@@ -89,7 +90,7 @@
             stream.onHead(harness.nowNanos, true);
         }
         if (progress == ResponseProgress.AFTER_FIRST_EVENT) {
-            stream.onChunk(harness.nowNanos, 5);
+            stream.onChunk(harness.nowNanos, 5, ONE_EVENT);
         }
         return stream;
     }
--- a/node/src/test/java/fawnlb/stream/SilenceDetectorTest.java
+++ b/node/src/test/java/fawnlb/stream/SilenceDetectorTest.java
@@ -1,6 +1,7 @@
 package fawnlb.stream;
 
 import static fawnlb.stream.StreamHarness.MILLISECOND_NANOS;
+import static fawnlb.stream.StreamHarness.ONE_EVENT;
 import static fawnlb.stream.StreamHarness.SECOND_NANOS;
 import static fawnlb.stream.StreamHarness.relayChunk;
 import static fawnlb.stream.StreamHarness.spread;
@@ -272,8 +273,10 @@
         ResponseStream arriving = harness.openStream(1);
         long at = startNanos + 200 * MILLISECOND_NANOS;
         arriving.onHead(at, true);
+        int partialBytes = 0;
         for (; at < 2 * timeoutAtNanos - startNanos; at += 50 * MILLISECOND_NANOS) {
-            arriving.onPartialData(at);
+            partialBytes++;
+            arriving.onPartialData(at, new EventProgress(0, 0, partialBytes, true, false));
             arriving.setBufferedBytes(5);
             wakeUntil(arriving, at + 50 * MILLISECOND_NANOS);
         }
@@ -327,7 +330,7 @@
             return false;
         }
         stream.onHead(arrivesAtNanos, true);
-        stream.onChunk(arrivesAtNanos, 1);
+        stream.onChunk(arrivesAtNanos, 1, ONE_EVENT);
         stream.onResponseComplete(EndReason.COMPLETED);
         stream.close();
         return true;
--- a/node/src/test/java/fawnlb/stream/SlowClientTest.java
+++ b/node/src/test/java/fawnlb/stream/SlowClientTest.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import static fawnlb.stream.StreamHarness.ONE_EVENT;
 import static fawnlb.stream.StreamHarness.SECOND_NANOS;
 import static fawnlb.stream.StreamHarness.wakeUntil;
 import static org.junit.Assert.assertEquals;
@@ -19,7 +20,7 @@
     @Test
     public void stalledClientTimesOutButSlowClientDoesNot() {
         ResponseStream stream = harness.openStreamingStream(1);
-        stream.onChunk(startNanos, 500);
+        stream.onChunk(startNanos, 500, ONE_EVENT);
         stream.onClientBackpressure(startNanos, 400);
         assertEquals(StreamState.CLIENT_SLOW, stream.state());
         assertEquals(400, harness.registry.bufferedBytes());
@@ -48,7 +49,7 @@
     @Test
     public void stalledClientTimesOutWhileFlushing() {
         ResponseStream stream = harness.openStreamingStream(1);
-        stream.onChunk(startNanos, 50);
+        stream.onChunk(startNanos, 50, ONE_EVENT);
         stream.onClientBackpressure(startNanos, 50);
         stream.onResponseComplete(EndReason.COMPLETED);
 
@@ -64,7 +65,7 @@
         List<ResponseStream> streams = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             ResponseStream stream = harness.openStreamingStream(i);
-            stream.onChunk(startNanos, 300);
+            stream.onChunk(startNanos, 300, ONE_EVENT);
             if (i < 3) {
                 stream.onClientBackpressure(startNanos + i, 300);
             }
@@ -89,10 +90,10 @@
         ResponseStream stalled = limited.openStreamingStream(1);
         ResponseStream reading = limited.openStreamingStream(2);
         stalled.setHeapBytes(700);
-        stalled.onChunk(startNanos, 5);
+        stalled.onChunk(startNanos, 5, ONE_EVENT);
         stalled.onClientBackpressure(startNanos, 5);
         reading.setHeapBytes(300);
-        reading.onChunk(startNanos, 5);
+        reading.onChunk(startNanos, 5, ONE_EVENT);
         assertEquals(1000, memory.reservedBytes(MemoryUse.RESPONSES));
 
         reading.setHeapBytes(301);
--- a/node/src/test/java/fawnlb/stream/StreamHarness.java
+++ b/node/src/test/java/fawnlb/stream/StreamHarness.java
@@ -15,6 +15,9 @@
 
     static final int PROMPT_TOKENS = 1000;
 
+    /** A read that holds a whole event. */
+    static final EventProgress ONE_EVENT = new EventProgress(1, 80, 0, true, false);
+
     private static final int TRAINING_STREAMS = 40;
     private static final int TRAINING_EVENTS = 30;
     private static final double TRAINING_SPREAD = 0.2;
@@ -70,7 +73,7 @@
 
     /** A chunk arrives, and the client reads it at once. */
     static void relayChunk(ResponseStream stream, long atNanos, int bytes) {
-        stream.onChunk(atNanos, bytes);
+        stream.onChunk(atNanos, bytes, ONE_EVENT);
         stream.onClientCaughtUp(atNanos);
     }
 
@@ -92,7 +95,7 @@
                 atNanos += spread(medianGapMillis * MILLISECOND_NANOS, TRAINING_SPREAD, random);
                 relayChunk(stream, atNanos, 10);
             }
-            stream.onChunk(atNanos, 1);
+            stream.onChunk(atNanos, 1, ONE_EVENT);
             stream.onResponseComplete(EndReason.COMPLETED);
             stream.close();
         }
