Run the timeout of a response's head only while a head is incomplete

Callers saw: where a backend answered 100 Continue to a large request that it read slowly, they got a 504 after 0.5 s of a deadline of 2.5 s.

Cause: ResponseHeadTimeout ran from the first byte of the response to the end of its final head, across the time between an interim head and the next. Change: it runs while a head, interim or final, has begun and is not complete; the request's deadline bounds the time between heads, and MAX_HEAD_BYTES all heads together.

SlowBackendTest.interimResponseLeavesTheRequestItsDeadline got a 504 after 0.5 s before, and gets the 200 now.

The other observation beside it, a 503 with X-Not-Run that was acted upon only at the deadline, was not reproduced: sent before the request was read, in six forms of framing, it was acted upon within 0.26 s (a length without its body waits 0.25 s for it). rejectionBeforeTheRequestIsWrittenIsActedUponAtOnce keeps that; it passed before this change.

--- a/node/src/main/java/fawnlb/http/HttpClientConnection.java
+++ b/node/src/main/java/fawnlb/http/HttpClientConnection.java
@@ -271,7 +271,7 @@
             fail(CallFailure.MALFORMED_RESPONSE);
             return;
         }
-        headTimeout.update(parser.head() != null);
+        headTimeout.update(parser.isWithinHead());
         deliver(body.flip());
     }
 
--- a/node/src/main/java/fawnlb/http/ResponseHeadTimeout.java
+++ b/node/src/main/java/fawnlb/http/ResponseHeadTimeout.java
@@ -3,7 +3,9 @@
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
 
-/** Limits the time from the first byte of a response to the end of its head. */
+/**
+ * Limits the time from the first byte of a head to its end. Between an interim (1xx) head and the next it does not run.
+ */
 @EventLoopOnly
 final class ResponseHeadTimeout {
     /** Backends send a head in one piece. A head that begins and does not end would hold its request for long. */
@@ -19,8 +21,8 @@
     }
 
     /** Must be called after each read of a response. */
-    void update(boolean isHeadComplete) {
-        if (isHeadComplete) {
+    void update(boolean isWithinHead) {
+        if (!isWithinHead) {
             cancel();
         } else if (timer == null) {
             timer = timers.schedule(TIMEOUT_NANOS, onTimeout);
--- a/node/src/main/java/fawnlb/http/ResponseParser.java
+++ b/node/src/main/java/fawnlb/http/ResponseParser.java
@@ -96,6 +96,11 @@
         return head;
     }
 
+    /** Whether a head, be it an interim one, has begun and is not complete. */
+    boolean isWithinHead() {
+        return head == null && (statusLineRead || lines.partialLine().length() > 0);
+    }
+
     private void parseHead(ByteBuffer input) throws MalformedMessageException {
         while (head == null && input.hasRemaining()) {
             String line = lines.readLine(input);
--- a/node/src/test/java/fawnlb/server/SlowBackendTest.java
+++ b/node/src/test/java/fawnlb/server/SlowBackendTest.java
@@ -9,6 +9,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -18,6 +20,9 @@
     private static final int RECEIVE_BUFFER_BYTES = 4096;
     private static final int BODY_BYTES = 200_000;
     private static final int READ_TIMEOUT_MS = 10_000;
+    private static final int DEADLINE_MS = 4000;
+    /** From the first byte of a head to its end. */
+    private static final int RESPONSE_HEAD_TIMEOUT_MS = 500;
 
     private final ServerSocket backend = createBackend();
 
@@ -109,4 +114,52 @@
             assertIncomplete(attempt);
         }
     }
+
+    /**
+     * Guards against answers at the deadline to requests of which their backend had said at once that they did not run.
+     */
+    @Test
+    public void rejectionBeforeTheRequestIsWrittenIsActedUponAtOnce() throws Exception {
+        for (String framing : List.of(
+                "Content-Length: 0\r\n\r\n",
+                "Content-Length: 5\r\n\r\n",
+                "Content-Length: 5\r\n\r\nabcde",
+                "Connection: close\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")) {
+            try (ServerHarness harness = startServer();
+                    Socket client = harness.connect()) {
+                write(client, largeRequest("strict", DEADLINE_MS));
+                Stopwatch stopwatch = new Stopwatch();
+                try (Socket attempt = acceptAttempt()) {
+                    write(attempt, "HTTP/1.1 503 x\r\nX-Not-Run: 1\r\n" + framing);
+
+                    String status = FakeHttpServer.readLine(client.getInputStream());
+
+                    assertTrue(status, status.startsWith("HTTP/1.1 503"));
+                    assertTrue(
+                            stopwatch.elapsed().toString(), stopwatch.elapsed().toMillis() < DEADLINE_MS / 2);
+                }
+            }
+        }
+    }
+
+    /** Guards against requests that fail half a second after an interim response, long before their deadline. */
+    @Test
+    public void interimResponseLeavesTheRequestItsDeadline() throws Exception {
+        try (ServerHarness harness = startServer();
+                Socket client = harness.connect()) {
+            write(client, largeRequest("strict", DEADLINE_MS));
+            try (Socket attempt = acceptAttempt()) {
+                write(attempt, "HTTP/1.1 100 Continue\r\n\r\n");
+                TimeUnit.MILLISECONDS.sleep(2 * RESPONSE_HEAD_TIMEOUT_MS);
+                attempt.getInputStream().readNBytes(BODY_BYTES);
+                write(attempt, Responses.COMPLETE_STREAM);
+
+                String status = FakeHttpServer.readLine(client.getInputStream());
+
+                assertTrue(status, status.startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
 }
