Replace a watch whose bytes bring no change, although they come in time

Callers saw: a change that discovery had was used after over 12 s, where the terms allow 6 s, when the watch had stopped in the middle of a line and sent blanks or a text without end.

WatchCall took any byte of the body for a heartbeat, and each put off the call that would have brought the change. Change: a complete object or blank line is progress, and so are the beginning of an object and the end of a list's member for a bounded time.

--- a/node/src/main/java/fawnlb/discovery/DiscoveryCall.java
+++ b/node/src/main/java/fawnlb/discovery/DiscoveryCall.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.xnio.XnioIoThread;
 
 /**
@@ -61,8 +62,13 @@
     /** The response has ended as its framing says. */
     abstract void onResponseEnd() throws EndpointListFormatException;
 
-    /** Some bytes of the response have come; their events follow. */
-    void onInput() {}
+    /**
+     * The response has come further: an event is complete, or a part of one. Other bytes say nothing of whether an
+     * event will follow.
+     *
+     * @param hasEvents whether events are complete, which follow
+     */
+    void onProgress(boolean hasEvents) {}
 
     /** Connects and sends the request. */
     final void start() {
@@ -117,9 +123,12 @@
         if (closed) {
             return;
         }
-        onInput();
         try {
-            for (WatchEvent event : reader.read(bytes)) {
+            List<WatchEvent> events = reader.read(bytes);
+            if (!events.isEmpty() || reader.hasAdvanced()) {
+                onProgress(!events.isEmpty());
+            }
+            for (WatchEvent event : events) {
                 onEvent(event);
             }
             connection.resumeReading();
--- a/node/src/main/java/fawnlb/discovery/DiscoveryTimeouts.java
+++ b/node/src/main/java/fawnlb/discovery/DiscoveryTimeouts.java
@@ -20,10 +20,17 @@
     /** The wait for a heartbeat, without the grace. */
     static final long HEARTBEAT_TIMEOUT_NANOS = HEARTBEAT_INTERVAL_NANOS + HEARTBEAT_TOLERANCE_NANOS;
     /**
-     * After this time without input a watch counts as failed. It stays open until the next call is made, and may
-     * resume.
+     * After this time without an event, or a part of one, a watch counts as failed. It stays open until the next call
+     * is made, and may resume.
      */
     static final long WATCH_SILENCE_TIMEOUT_NANOS = HEARTBEAT_TIMEOUT_NANOS + UNREAD_INPUT_GRACE_NANOS;
+    /** How long the parts of a watch's first list prolong the wait for its end. Other changes wait behind it. */
+    static final long MAX_FIRST_LIST_NANOS = 10 * NANOS_PER_SECOND;
+    /**
+     * How long the parts of a later change do. With the wait that follows, and the backoff before the next call, it is
+     * less than the time in which a change must be known.
+     */
+    static final long MAX_CHANGE_NANOS = 2 * NANOS_PER_SECOND;
     /** A call that is refused after this time has queued at the service. */
     static final long MIN_QUEUED_NANOS = NANOS_PER_SECOND;
 
--- a/node/src/main/java/fawnlb/discovery/WatchCall.java
+++ b/node/src/main/java/fawnlb/discovery/WatchCall.java
@@ -12,9 +12,12 @@
  */
 final class WatchCall extends DiscoveryCall {
     private static final String NAME = "watch";
+    private static final long NO_LIST = Long.MIN_VALUE;
 
     private boolean answered;
     private boolean silent;
+    /** When the list began of which parts have come, {@link #NO_LIST} if none has begun. */
+    private long listSinceNanos = NO_LIST;
 
     WatchCall(Context context, InetSocketAddress address) {
         super(
@@ -30,9 +33,23 @@
     }
 
     @Override
-    void onInput() {
-        armHeartbeatTimeout();
-        resumeIfSilent();
+    void onProgress(boolean hasEvents) {
+        if (hasEvents) {
+            listSinceNanos = NO_LIST;
+            armHeartbeatTimeout();
+            resumeIfSilent();
+        } else if (isListInTime(context().timers().now())) {
+            armHeartbeatTimeout();
+        }
+    }
+
+    /** A first list may be long. A change that does not come to its end is had sooner by another call. */
+    private boolean isListInTime(long now) {
+        if (listSinceNanos == NO_LIST) {
+            listSinceNanos = now;
+        }
+        long maxNanos = answered ? DiscoveryTimeouts.MAX_CHANGE_NANOS : DiscoveryTimeouts.MAX_FIRST_LIST_NANOS;
+        return now - listSinceNanos <= maxNanos;
     }
 
     private void armHeartbeatTimeout() {
--- a/node/src/main/java/fawnlb/discovery/WatchEventReader.java
+++ b/node/src/main/java/fawnlb/discovery/WatchEventReader.java
@@ -21,6 +21,7 @@
     private boolean inString;
     private boolean escaped;
     private boolean lineIsBlank = true;
+    private boolean hasAdvanced;
 
     /** Creates a reader that rejects objects of more bytes. */
     WatchEventReader(int maxObjectBytes) {
@@ -36,6 +37,7 @@
      */
     List<WatchEvent> read(ByteBuffer bytes) throws EndpointListFormatException {
         List<WatchEvent> events = new ArrayList<>();
+        hasAdvanced = false;
         while (bytes.hasRemaining()) {
             byte next = bytes.get();
             if (next == '\n') {
@@ -49,6 +51,11 @@
         return events;
     }
 
+    /** Whether the latest chunk has begun an object, or has ended one or a part of one such as a list's member. */
+    boolean hasAdvanced() {
+        return hasAdvanced;
+    }
+
     /** Whether an object has begun and not ended. */
     boolean isWithinObject() {
         return depth > 0;
@@ -72,6 +79,7 @@
             throw new EndpointListFormatException(Reason.MALFORMED, "expected an object");
         }
         lineIsBlank = false;
+        hasAdvanced = true;
         depth = 1;
         object.reset();
         object.write(next);
@@ -90,7 +98,15 @@
             inString = true;
         } else if (next == '{' || next == '[') {
             depth++;
-        } else if ((next == '}' || next == ']') && --depth == 0) {
+        } else if (next == '}' || next == ']') {
+            endNested(events);
+        }
+    }
+
+    private void endNested(List<WatchEvent> events) {
+        hasAdvanced = true;
+        depth--;
+        if (depth == 0) {
             events.add(new WatchEvent.JsonObject(object.toString(StandardCharsets.UTF_8)));
             // A whole list may be large, and the changes that follow it are small.
             object = new ByteArrayOutputStream();
--- a/node/src/test/java/fawnlb/discovery/WatchEventReaderTest.java
+++ b/node/src/test/java/fawnlb/discovery/WatchEventReaderTest.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.Test;
@@ -83,4 +84,22 @@
         reader.read(bytes("]}"));
         assertFalse(reader.isWithinObject());
     }
+
+    /** Bytes within a member's text, or blanks, may come for ever. */
+    @Test
+    public void onlyTheBeginningOfAnObjectAndTheEndsOfItsPartsAreAnAdvance() throws EndpointListFormatException {
+        WatchEventReader reader = new WatchEventReader(MAX_OBJECT_BYTES);
+        Map<String, Boolean> advances = new LinkedHashMap<>();
+        advances.put(" ", false);
+        advances.put("{\"a\":[", true);
+        advances.put("  ", false);
+        advances.put("{\"b\":\"}]", false);
+        advances.put("\"}", true);
+        advances.put(",", false);
+        advances.put("]", true);
+        for (Map.Entry<String, Boolean> part : advances.entrySet()) {
+            reader.read(bytes(part.getKey()));
+            assertEquals(part.getKey(), part.getValue(), reader.hasAdvanced());
+        }
+    }
 }
