Limit what is relayed without an event, and test the paths beside the streams

A client that reads slowly waits for itself and not for its backend, so comments that come faster than it reads would keep it for as long as they come: 256 KiB without an event end the stream now, as they do before the first event and where the stream is parsed (ProgressDetectorTest.relayedBytesWithoutAnEventAreLimitedForSlowClients).

--- a/node/src/main/java/fawnlb/stream/ProgressDetector.java
+++ b/node/src/main/java/fawnlb/stream/ProgressDetector.java
@@ -28,8 +28,12 @@
     /** The size lines and line ends between two events. */
     private static final int MAX_FRAMING_BYTES = 16;
 
+    /** No event is larger, and what comes between two events is far smaller. */
+    private static final long MAX_BYTES_WITHOUT_EVENT = 256 * 1024;
+
     private final long maxWaitNanos;
     private long lastEventNanos;
+    private long bytesSinceEvent;
     private EventProgress progress = EventProgress.NONE;
     private int framingBytes;
     private boolean hasParts;
@@ -55,6 +59,7 @@
     /** Starts a new wait: the head of the answer has come, or an event. */
     void restart(long nowNanos) {
         lastEventNanos = nowNanos;
+        bytesSinceEvent = 0;
         framingBytes = 0;
         hasParts = false;
     }
@@ -85,6 +90,14 @@
                 && progress.partialEventBytes() <= maxBytes;
     }
 
+    /**
+     * Takes bytes that were relayed and completed no event. A client that reads them slowly is not waiting, so that
+     * their number is limited, and not their time alone.
+     */
+    void onRelayedWithoutEvent(long bytes) {
+        bytesSinceEvent += bytes;
+    }
+
     /** Takes bytes of a size line, or of the line end of a chunk, such as the answer's other chunks have. */
     void onFraming(long nowNanos, int wellFormedBytes) {
         framingBytes += wellFormedBytes;
@@ -133,6 +146,9 @@
 
     /** When the client has waited for too long. */
     long limitNanos() {
+        if (bytesSinceEvent > MAX_BYTES_WITHOUT_EVENT) {
+            return lastEventNanos;
+        }
         long limitNanos = lastEventNanos + maxWaitNanos;
         if (!isBeingWrittenSlowly()) {
             return limitNanos;
--- a/node/src/test/java/fawnlb/server/BrokerFixture.java
+++ b/node/src/test/java/fawnlb/server/BrokerFixture.java
@@ -69,6 +69,10 @@
         script = (request, connection) -> write(connection, response);
     }
 
+    void backendResponds(FakeHttpServer.ResponseScript responseScript) {
+        script = responseScript;
+    }
+
     void backendRespondsAndCloses(String response) {
         script = (request, connection) -> {
             write(connection, response);
--- a/node/src/test/java/fawnlb/server/MalformedRequestTest.java
+++ b/node/src/test/java/fawnlb/server/MalformedRequestTest.java
@@ -30,6 +30,9 @@
     private static final String CLASS = "X-Class: chat\r\n";
     private static final String HEAD = "POST " + CHAT_PATH + " HTTP/1.1\r\nHost: x\r\n" + CLOSE_CONNECTION + ID + CLASS;
 
+    /** Within this time a client gets an error or a close that does not send its request in time. */
+    private static final Duration BAD_CLIENT_LIMIT = Duration.ofSeconds(3);
+
     private static final List<String> UNPARSABLE_REQUESTS = List.of(
             "GET / HTTP/1.1\r\nHost: x\r\nX: " + "x".repeat(100_000),
             HEAD + "X: y\r\n".repeat(100) + "Content-Length: 2\r\n\r\n{}",
@@ -195,4 +198,41 @@
             assertTrue(ServerHarness.readToResetOrEnd(client).startsWith("HTTP/1.1 200"));
         }
     }
+
+    /** A request that never ends, and what is sent of it again and again. */
+    private record EndlessRequest(String start, String repeated) {}
+
+    /** Guards against requests that are kept by the bytes of a head or of framing that never end. */
+    @Test
+    public void endlessHeadOrFramingIsRejectedInTime() throws Exception {
+        for (EndlessRequest request : List.of(
+                new EndlessRequest(HEAD + "X: ", "x"),
+                new EndlessRequest(HEAD + CHUNKED_ENCODING + "\r\n", "0"),
+                new EndlessRequest(HEAD + CHUNKED_ENCODING + "\r\n2;", "x"),
+                new EndlessRequest(HEAD + CHUNKED_ENCODING + "\r\n2\r\n{}\r\n0\r\nx:", "x"))) {
+            try (ServerHarness harness = ServerHarness.withBackends();
+                    Socket client = harness.connect()) {
+                Stopwatch stopwatch = new Stopwatch();
+                write(client, request.start());
+                Thread writer = new Thread(() -> writeRepeatedly(client, request.repeated()));
+                writer.start();
+
+                ServerHarness.readToResetOrEnd(client);
+
+                stopwatch.assertBelow(BAD_CLIENT_LIMIT);
+                writer.join();
+            }
+        }
+    }
+
+    private static void writeRepeatedly(Socket client, String text) {
+        try {
+            while (true) {
+                write(client, text);
+                TimeUnit.MILLISECONDS.sleep(150);
+            }
+        } catch (IOException | InterruptedException e) {
+            // The server or the test has closed the connection.
+        }
+    }
 }
--- a/node/src/test/java/fawnlb/server/StreamProgressTest.java
+++ b/node/src/test/java/fawnlb/server/StreamProgressTest.java
@@ -11,10 +11,13 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.translation.Dialect;
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -109,6 +112,55 @@
         assertEquals(Map.of(), kept);
     }
 
+    /** Guards against the same where the answer is translated, or a broker reads along. */
+    @Test
+    public void commentsDoNotKeepClientOfBrokerBeyondFiveSeconds() throws Exception {
+        ExecutorService clients = Executors.newCachedThreadPool();
+        List<Future<?>> results = new ArrayList<>();
+        for (Object[] pair : BrokerFixture.dialectPairs()) {
+            results.add(clients.submit(() -> {
+                try (BrokerFixture broker = new BrokerFixture((Dialect) pair[0], (Dialect) pair[1])) {
+                    assertClientOfBrokerIsNotKept(broker);
+                }
+                return null;
+            }));
+        }
+        for (Future<?> result : results) {
+            result.get();
+        }
+        clients.shutdown();
+    }
+
+    private static void assertClientOfBrokerIsNotKept(BrokerFixture broker) throws IOException {
+        Script comments = onceThenRepeating("", chunk(": comment\n\n"), 300);
+        broker.backendResponds((request, connection) -> {
+            write(connection, openStream(broker.firstPart()));
+            comments.run(connection);
+        });
+        Stopwatch stopwatch = new Stopwatch();
+
+        String response = broker.exchange(broker.streamRequest("id"));
+
+        stopwatch.assertBelow(CLIENT_WAIT_LIMIT);
+        assertTrue(response, response.startsWith("HTTP/1.1 200"));
+        assertFalse(response, response.endsWith(LAST_CHUNK));
+    }
+
+    /** Guards against a 200 for requests of which nothing but comments came until their deadline. */
+    @Test
+    public void commentsBeforeTheFirstEventAreNoAnswer() throws Exception {
+        Script comments = onceThenRepeating("", chunk(": comment\n\n"), 100);
+        try (FakeHttpServer backend = new FakeHttpServer((request, connection) -> {
+                    write(connection, openStream());
+                    comments.run(connection);
+                });
+                ServerHarness harness = ServerHarness.withBackends(backend)) {
+            String response = harness.exchange(chat("id", 1000));
+
+            assertTrue(response, response.startsWith("HTTP/1.1 503"));
+        }
+    }
+
     private static Map<String, Script> slowEndings() {
         String rest = chunk(LONG_EVENT);
         Map<String, Script> endings = new LinkedHashMap<>();
--- a/node/src/test/java/fawnlb/stream/ProgressDetectorTest.java
+++ b/node/src/test/java/fawnlb/stream/ProgressDetectorTest.java
@@ -154,6 +154,24 @@
         assertEquals(1, harness.endReasons.size());
     }
 
+    /** A client that reads slowly is kept by its own pace, and would be kept for ever by comments that come quickly. */
+    @Test
+    public void relayedBytesWithoutAnEventAreLimitedForSlowClients() {
+        long atNanos = startNanos;
+        for (int chunk = 0; chunk < 16; chunk++) {
+            assertEquals(List.of(), harness.endReasons);
+            stream.onChunk(atNanos, 16 * 1024, EventProgress.NONE);
+            stream.onClientBackpressure(atNanos, 1024);
+            atNanos += SECOND_NANOS;
+            stream.onClientCaughtUp(atNanos);
+            stream.wake(atNanos);
+        }
+        stream.onChunk(atNanos, 1, EventProgress.NONE);
+        stream.onClientCaughtUp(atNanos);
+
+        assertTrue(stream.wakeAtNanos() <= atNanos);
+    }
+
     @Test
     public void answerThatIsNotAStreamOfEventsHasNoWaitForEvents() {
         ResponseStream whole = harness.open(new StreamParameters(1, 0, startNanos + 90 * SECOND_NANOS, false, false));
