--- a/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
+++ b/lab/src/main/java/fawnlb/lab/engine/EngineServer.java
@@ -70,6 +70,10 @@
         return spec.apiFormat();
     }
 
+    boolean isReachable() {
+        return !unresponsive && !engine.isCollapsed();
+    }
+
     /** Returns whether the engine is down because it received too much work during its slow start. */
     public boolean isCollapsed() {
         return engine.isCollapsed();
--- a/lab/src/main/java/fawnlb/lab/engine/GeneratedAnswer.java
+++ b/lab/src/main/java/fawnlb/lab/engine/GeneratedAnswer.java
@@ -13,6 +13,7 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + "Transfer-Encoding: chunked\r\n\r\n";
     private static final String JSON_RESPONSE_HEAD =
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n";
+    private static final long MIN_SLOW_WRITING_NANOS = 1_000_000_000;
     private static final String LAST_CHUNK = "0\r\n\r\n";
 
     private final EngineServer server;
@@ -52,6 +53,7 @@
     void onConnectionClosed() {
         if (faultInjectedAt >= 0) {
             server.onFaultDetected(timers.now() - faultInjectedAt);
+            checkSlowAnswer(timers.now() - faultInjectedAt);
         }
         if (finished) {
             return;
@@ -64,6 +66,14 @@
         rules.onAttemptCancelled(timers.now(), request.requestId(), server.id());
     }
 
+    /** A node that ends the attempt at the time of its first event may not know of the event yet. */
+    private void checkSlowAnswer(long writingNanos) {
+        boolean isCutByNode = exchange.isClosedByClient() && server.isReachable();
+        if (exchange.isWritingSlowly() && isCutByNode && writingNanos > MIN_SLOW_WRITING_NANOS) {
+            rules.onSlowAnswerCut(request.requestId(), writingNanos);
+        }
+    }
+
     @Override
     public void onToken(boolean last) {
         int generated = sequence.generatedTokens();
@@ -107,6 +117,11 @@
         lastWriteAt = timers.now();
         if (faultInjectedAt < 0 && exchange.isFaultInjected()) {
             faultInjectedAt = timers.now();
+            if (exchange.isEndless()) {
+                rules.onProgressEnded(timers.now(), request.requestId());
+            } else if (exchange.isWritingSlowly()) {
+                rules.onSlowWritingStarted();
+            }
         }
     }
 
--- a/lab/src/main/java/fawnlb/lab/load/ClientAttempt.java
+++ b/lab/src/main/java/fawnlb/lab/load/ClientAttempt.java
@@ -75,7 +75,7 @@
     }
 
     private void send() {
-        rules.onRequestSent(requestId, node.nodeName());
+        rules.onRequestSent(generator.now(), requestId, node.nodeName());
         rules.setDeadline(requestId, deadlineAt);
         boolean nonIdempotent = generator.isNonIdempotent(execution.turn());
         if (nonIdempotent) {
@@ -203,6 +203,7 @@
         deadlineTimer.cancel();
         if (firstEventAt >= 0) {
             finished = true;
+            rules.onStreamBroken(generator.now(), requestId);
             execution.finish(TurnOutcome.BROKEN);
         } else if (reused || failure == HttpClientConnection.CallFailure.REQUEST_NOT_WRITTEN) {
             // The node closed the idle connection while the request was on its way: send it on a new one.
--- a/lab/src/main/java/fawnlb/lab/load/ClientResponse.java
+++ b/lab/src/main/java/fawnlb/lab/load/ClientResponse.java
@@ -10,6 +10,11 @@
  */
 public record ClientResponse(
         String id, int status, String retryAfter, String body, boolean complete, long elapsedNanos) {
+    /** Whether no connection could be opened for the request. */
+    boolean isNotConnected() {
+        return status == 0 && elapsedNanos == 0;
+    }
+
     /** Returns the response to a request for which no connection could be opened. */
     static ClientResponse notConnected(String id) {
         return new ClientResponse(id, 0, "", "", false, 0);
--- a/lab/src/main/java/fawnlb/lab/load/LoadClient.java
+++ b/lab/src/main/java/fawnlb/lab/load/LoadClient.java
@@ -68,7 +68,7 @@
 
         void send() {
             sentAt = timers.now();
-            rules.onRequestSent(request.id(), connections.nodeName());
+            rules.onRequestSent(sentAt, request.id(), connections.nodeName());
             PostRequest post = PostRequest.to(request.path()).header("X-Request-Id", request.id());
             request.headers().forEach(post::header);
             connection.send(this, ByteBuffer.wrap(post.toBytes(request.body())));
@@ -99,6 +99,7 @@
         public void onFailure(HttpClientConnection.CallFailure failure) {
             if (responseHead == null && reused) {
                 // The node closed the idle connection while the request was on its way: send it on a new one.
+                rules.onIdleConnectionClosed(request.id());
                 connections.discardIdle();
                 openAndSend(request, callback);
             } else {
--- a/lab/src/main/java/fawnlb/lab/load/SlowReaderClients.java
+++ b/lab/src/main/java/fawnlb/lab/load/SlowReaderClients.java
@@ -73,7 +73,7 @@
         SocketChannel channel = SocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
         channel.connect(address);
-        rules.onRequestSent(requestId, nodeName);
+        rules.onRequestSent(0, requestId, nodeName);
         String path = "/v1/chat/completions?out=" + Integer.toHexString(outputTokens) + "&pad="
                 + Integer.toHexString(paddingBytes);
         ByteBuffer request = ByteBuffer.wrap(PostRequest.to(path)
--- a/lab/src/main/java/fawnlb/lab/net/Fault.java
+++ b/lab/src/main/java/fawnlb/lab/net/Fault.java
@@ -29,16 +29,50 @@
         /** The whole response is sent at once when it is complete. */
         BUFFERED_TO_END,
         /** A second response follows without a request. */
-        DUPLICATE_RESPONSE;
+        DUPLICATE_RESPONSE,
+        /** The size of the next chunk never ends. */
+        ENDLESS_SIZE,
+        /** The extension of the next chunk's size never ends. */
+        ENDLESS_EXTENSION,
+        /** The next chunk has a size of gigabytes, and whole events follow. */
+        HUGE_CHUNK,
+        /** The trailer behind the last chunk never ends, and events are missing. */
+        ENDLESS_TRAILER,
+        /** Comments follow instead of events. */
+        ENDLESS_COMMENTS,
+        /** The next event never ends. */
+        ENDLESS_EVENT,
+        /**
+         * The next event is written slowly, for longer than a client may wait for an event; the rest follows at once.
+         */
+        SLOW_EVENT;
 
         /** Returns whether the fault occurs at the offset, rather than at the end of the response. */
         public boolean isPositional() {
             return this != BUFFERED_TO_END && this != DUPLICATE_RESPONSE;
         }
 
+        /** Returns whether bytes follow that never become an event. */
+        public boolean isEndless() {
+            return switch (this) {
+                case ENDLESS_SIZE, ENDLESS_EXTENSION, HUGE_CHUNK, ENDLESS_TRAILER, ENDLESS_COMMENTS, ENDLESS_EVENT ->
+                    true;
+                default -> false;
+            };
+        }
+
+        /** Returns whether the fault is one of the progress of a stream: it begins behind a whole chunk. */
+        public boolean concernsProgress() {
+            return isEndless() || this == SLOW_EVENT;
+        }
+
         /** Returns whether the client can still read the complete response. */
         public boolean isHarmless() {
-            return this == PAUSE || this == BYTE_AT_A_TIME || this == BUFFERED_TO_END || this == DUPLICATE_RESPONSE;
+            return this == PAUSE
+                    || this == BYTE_AT_A_TIME
+                    || this == BUFFERED_TO_END
+                    || this == DUPLICATE_RESPONSE
+                    || this == SLOW_EVENT;
         }
     }
 }
--- a/lab/src/main/java/fawnlb/lab/net/FaultInjector.java
+++ b/lab/src/main/java/fawnlb/lab/net/FaultInjector.java
@@ -16,6 +16,13 @@
     /** The finest interval that the executor keeps: slow enough for each byte to travel alone. */
     private static final long BYTE_INTERVAL_MILLIS = 1;
 
+    /** How often an endless response sends something. */
+    private static final long ENDLESS_INTERVAL_MILLIS = 300;
+    /** An event of more bytes than these takes six seconds, in which its client gets no other. */
+    private static final long SLOW_BYTE_INTERVAL_MILLIS = 100;
+
+    private static final int SLOW_BYTES = 60;
+
     private static final String DUPLICATE_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
 
     private final HttpExchange exchange;
@@ -37,6 +44,16 @@
         buffering = fault.kind() == Fault.Kind.BUFFERED_TO_END;
     }
 
+    /** Returns the fault of the response. */
+    Fault.Kind kind() {
+        return fault.kind();
+    }
+
+    /** Returns whether bytes are held back. */
+    boolean isBuffering() {
+        return buffering;
+    }
+
     /** Returns whether the response has been altered. */
     boolean isInjected() {
         return injected;
@@ -51,6 +68,10 @@
             forward(bytes);
             return;
         }
+        if (fault.kind().concernsProgress()) {
+            writeToFaultBehindChunk(bytes);
+            return;
+        }
         int bytesBeforeFault = Math.min(bytes.length, fault.offset() - forwardedBytes);
         forwardedBytes += bytesBeforeFault;
         forward(Arrays.copyOf(bytes, bytesBeforeFault));
@@ -62,6 +83,62 @@
         }
     }
 
+    /** Each write holds whole chunks, so the fault begins at the end of the one that reaches its offset. */
+    private void writeToFaultBehindChunk(byte[] bytes) {
+        forward(bytes);
+        forwardedBytes += bytes.length;
+        if (forwardedBytes < fault.offset()) {
+            return;
+        }
+        injected = true;
+        if (fault.kind().isEndless()) {
+            discarding = true;
+            EndlessBytes endless = EndlessBytes.of(fault.kind());
+            exchange.send(endless.firstBytes());
+            repeat(endless.repeatedBytes());
+        } else {
+            buffering = true;
+            executor.executeAfter(() -> sendSlowByte(0), SLOW_BYTE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void repeat(byte[] bytes) {
+        executor.executeAfter(
+                () -> {
+                    if (exchange.isOpen()) {
+                        exchange.send(bytes);
+                        repeat(bytes);
+                    }
+                },
+                ENDLESS_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void sendSlowByte(int sentBytes) {
+        if (!exchange.isOpen()) {
+            return;
+        }
+        boolean hasSent = sendBufferedByte();
+        int count = sentBytes + (hasSent ? 1 : 0);
+        if (count >= SLOW_BYTES || !hasSent && responseEnded) {
+            flushBuffered();
+        } else {
+            executor.executeAfter(() -> sendSlowByte(count), SLOW_BYTE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Returns whether there was a byte to send. */
+    private boolean sendBufferedByte() {
+        byte[] bytes = buffered.toByteArray();
+        if (bytes.length == 0) {
+            return false;
+        }
+        exchange.send(new byte[] {bytes[0]});
+        buffered.reset();
+        buffered.write(bytes, 1, bytes.length - 1);
+        return true;
+    }
+
     private void forward(byte[] bytes) {
         if (bytes.length == 0 || discarding) {
             return;
@@ -106,13 +183,8 @@
     }
 
     private void sendNextByte() {
-        byte[] bytes = buffered.toByteArray();
-        if (bytes.length > 0) {
-            exchange.send(new byte[] {bytes[0]});
-            buffered.reset();
-            buffered.write(bytes, 1, bytes.length - 1);
-        }
-        if (exchange.isOpen() && (bytes.length > 1 || !responseEnded)) {
+        sendBufferedByte();
+        if (exchange.isOpen() && (buffered.size() > 0 || !responseEnded)) {
             executor.executeAfter(this::sendNextByte, BYTE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
--- a/lab/src/main/java/fawnlb/lab/net/HttpExchange.java
+++ b/lab/src/main/java/fawnlb/lab/net/HttpExchange.java
@@ -25,8 +25,12 @@
     private Runnable closeListener = () -> {};
     private boolean closeAfterFlush;
     private boolean closed;
+    private boolean closedByClient;
     private boolean silent;
     private FaultInjector faultInjector;
+    /** Outlives its response, whose bytes it holds back. */
+    private FaultInjector slowInjector;
+
     private int responseBytes;
 
     HttpExchange(
@@ -79,6 +83,7 @@
     /** Applies the fault to the next response alone; null for none. */
     public void injectFault(Fault fault) {
         faultInjector = fault == null ? null : new FaultInjector(this, fault, executor);
+        slowInjector = fault != null && fault.kind() == Fault.Kind.SLOW_EVENT ? faultInjector : null;
         responseBytes = 0;
     }
 
@@ -97,6 +102,21 @@
         return faultInjector != null && faultInjector.isInjected();
     }
 
+    /** Returns whether the current response sends what never becomes an event. */
+    public boolean isEndless() {
+        return isFaultInjected() && faultInjector.kind().isEndless();
+    }
+
+    /** Returns whether bytes of the latest response with a {@link Fault.Kind#SLOW_EVENT} have yet to be sent. */
+    public boolean isWritingSlowly() {
+        return slowInjector != null && slowInjector.isBuffering();
+    }
+
+    /** Returns whether it was the client that closed or reset the connection. */
+    public boolean isClosedByClient() {
+        return closedByClient;
+    }
+
     /** Sends bytes as they are, whatever fault is injected. */
     void send(byte[] bytes) {
         if (!closed && !silent) {
@@ -159,16 +179,21 @@
                 close();
             }
         } catch (IOException e) {
-            close();
+            onClosedByClient();
         }
     }
 
+    private void onClosedByClient() {
+        closedByClient = !closed;
+        close();
+    }
+
     private void onReadable() {
         try {
             while (!closed && !silent) {
                 int count = channel.getSourceChannel().read(parser.writableBuffer());
                 if (count < 0) {
-                    close();
+                    onClosedByClient();
                     return;
                 }
                 if (count == 0) {
@@ -177,7 +202,7 @@
                 parser.poll().ifPresent(request -> handler.onRequest(request, this));
             }
         } catch (IOException e) {
-            close();
+            onClosedByClient();
         }
     }
 }
--- a/lab/src/main/java/fawnlb/lab/node/NodeConfigurationWriter.java
+++ b/lab/src/main/java/fawnlb/lab/node/NodeConfigurationWriter.java
@@ -34,7 +34,8 @@
         out.writeStringField("discovery", formatAddress(configuration.discoveryAddress()));
         out.writeStringField("seed", Integer.toHexString(configuration.nodeIndex() + 1));
         out.writeObjectFieldStart("limits");
-        out.writeNumberField("sockets", 4096);
+        out.writeNumberField("sockets", 1024);
+        out.writeNumberField("memory_mb", NodeProcess.MEMORY_LIMIT_MEGABYTES);
         out.writeEndObject();
         writeSettings(configuration);
         out.writeEndObject();
--- a/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
+++ b/lab/src/main/java/fawnlb/lab/node/NodeProcess.java
@@ -23,6 +23,9 @@
     /** Request class whose requests must not run twice. */
     public static final String NON_IDEMPOTENT_CLASS = "ledger-entry";
 
+    /** The least that the operators' pages name. */
+    public static final int MEMORY_LIMIT_MEGABYTES = 160;
+
     private static final String DEPLOY_FILE = "deploy/balancer.toml";
     private static final Pattern RUN_COMMAND = Pattern.compile("(?m)^run = \"(.*)\"$");
     private static final int READY_CONNECT_TIMEOUT_MILLIS = 500;
--- a/lab/src/main/java/fawnlb/lab/rules/Rule.java
+++ b/lab/src/main/java/fawnlb/lab/rules/Rule.java
@@ -21,5 +21,9 @@
     /** The deadline that is forwarded to a backend is not later than the client's. */
     FORWARDED_DEADLINE,
     /** A request that is not idempotent runs at one backend at most, and is not rejected once it ran. */
-    NON_IDEMPOTENT_RUNS_ONCE
+    NON_IDEMPOTENT_RUNS_ONCE,
+    /** A stream ends in time at its client when its backend sends no more events, whatever else it sends. */
+    NO_WAIT_WITHOUT_PROGRESS,
+    /** A sound answer is not cut off because its backend writes slowly. */
+    SLOW_ANSWER_IS_KEPT
 }
--- a/lab/src/main/java/fawnlb/lab/rules/RuleChecker.java
+++ b/lab/src/main/java/fawnlb/lab/rules/RuleChecker.java
@@ -1,13 +1,11 @@
 package fawnlb.lab.rules;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 /**
  * Checks what crossed the sockets against the {@link Rule}s. Clients, backends and the discovery service report what
@@ -29,36 +27,9 @@
     private final int maxAttempts;
     private final long drainGraceNanos;
     private final Map<String, TrackedRequest> requests = new HashMap<>();
-    private final Map<Notification, Long> drainNotifiedAt = new HashMap<>();
-    private final Set<String> excusedNodes = new HashSet<>();
-    private final Map<Rule, List<String>> violations = new TreeMap<>();
-
-    /** What a node knows of a backend. */
-    private record Notification(String node, String backend) {}
-
-    private static final class TrackedRequest {
-        final String node;
-        long deadlineAt = Long.MAX_VALUE;
-        long disconnectedAt = Long.MAX_VALUE;
-        boolean nonIdempotent;
-        /** A backend has accepted the request, so that it may have taken effect. */
-        boolean executed;
-        /** No response is owed any more: the node was killed or is excused, or the client has disconnected. */
-        boolean waived;
-
-        int responses;
-        int attempts;
-        String backend;
-        BooleanSupplier connectionOpen;
-        /** When an attempt began while the one before was still connected; negative if none did. */
-        long overlapStartedAt = -1;
-
-        final List<Long> completedChecksums = new ArrayList<>();
-
-        TrackedRequest(String node) {
-            this.node = node;
-        }
-    }
+    private final NodeStates nodes = new NodeStates();
+    private final Violations violations = new Violations();
+    private final ProgressRules progressRules = new ProgressRules(violations);
 
     /**
      * Creates a checker without requests.
@@ -74,12 +45,18 @@
     // ---- Clients --------------------------------------------------------------------------------------
 
     /** A client has written the last byte of a request to this node. */
-    public synchronized void onRequestSent(String requestId, String node) {
-        TrackedRequest request = new TrackedRequest(node);
-        request.waived = excusedNodes.contains(node);
+    public synchronized void onRequestSent(long now, String requestId, String node) {
+        TrackedRequest request = new TrackedRequest(node, now);
+        request.waived = nodes.isExcused(node);
         requests.put(requestId, request);
     }
 
+    /** A client that does not read its response has written a request to this node, and nothing is owed to it. */
+    public synchronized void onUnreadRequestSent(String requestId, String node) {
+        onRequestSent(0, requestId, node);
+        requests.get(requestId).waived = true;
+    }
+
     /** Sets by when the client wants its response to begin. */
     public synchronized void setDeadline(String requestId, long deadlineAt) {
         requests.get(requestId).deadlineAt = deadlineAt;
@@ -95,7 +72,7 @@
         TrackedRequest request = requests.get(requestId);
         countResponse(requestId, request);
         if (!request.completedChecksums.contains(checksum)) {
-            recordViolation(Rule.RESPONSE_MATCHES_BACKEND, requestId + " was served what no backend had generated");
+            violations.add(Rule.RESPONSE_MATCHES_BACKEND, requestId + " was served what no backend had generated");
         }
     }
 
@@ -106,7 +83,7 @@
 
     private void countResponse(String requestId, TrackedRequest request) {
         if (++request.responses > 1) {
-            recordViolation(Rule.EXACTLY_ONE_RESPONSE, requestId + " was answered " + request.responses + " times");
+            violations.add(Rule.EXACTLY_ONE_RESPONSE, requestId + " was answered " + request.responses + " times");
         }
     }
 
@@ -114,7 +91,7 @@
     public synchronized void onRequestRejected(String requestId) {
         TrackedRequest request = requests.get(requestId);
         if (request.nonIdempotent && request.executed) {
-            recordViolation(
+            violations.add(
                     Rule.NON_IDEMPOTENT_RUNS_ONCE,
                     requestId + " was rejected by " + request.node + " after it had run");
         }
@@ -130,7 +107,7 @@
     public synchronized void onDeadlineMissed(String requestId) {
         TrackedRequest request = requests.get(requestId);
         if (!request.waived) {
-            recordViolation(
+            violations.add(
                     Rule.RESPONSE_BY_DEADLINE, requestId + " had no answer at its deadline from " + request.node);
         }
     }
@@ -139,8 +116,18 @@
     public synchronized void onConnectionLost(String requestId) {
         TrackedRequest request = requests.get(requestId);
         if (!request.waived) {
-            recordViolation(
-                    Rule.EXACTLY_ONE_RESPONSE, requestId + " was read by " + request.node + " and not answered");
+            violations.add(Rule.EXACTLY_ONE_RESPONSE, requestId + " was read by " + request.node + " and not answered");
+        }
+    }
+
+    /** A response that had begun has ended early; that is allowed unless its node has cut it at its own shutdown. */
+    public synchronized void onStreamBroken(long now, String requestId) {
+        TrackedRequest request = requests.get(requestId);
+        progressRules.onStreamBroken(now, requestId, request);
+        if (!request.waived && nodes.isLateForShutdown(request)) {
+            violations.add(
+                    Rule.EXACTLY_ONE_RESPONSE,
+                    requestId + " was taken by " + request.node + " during its shutdown, and cut off");
         }
     }
 
@@ -151,7 +138,7 @@
     public synchronized void onIdleConnectionClosed(String requestId) {
         TrackedRequest request = requests.get(requestId);
         if (request != null && request.attempts > 0 && !request.waived) {
-            recordViolation(
+            violations.add(
                     Rule.EXACTLY_ONE_RESPONSE,
                     requestId + " was forwarded by " + request.node + ", which then closed its client's connection");
         }
@@ -164,16 +151,29 @@
      * that it has or receives in that time.
      */
     public synchronized void excuseNode(String node) {
-        excusedNodes.add(node);
+        nodes.excuse(node);
         waiveRequestsOf(node);
     }
 
     /** Ends that time; requests received in it stay waived. */
     public synchronized void stopExcusingNode(String node) {
-        excusedNodes.remove(node);
+        nodes.stopExcusing(node);
         waiveRequestsOf(node);
     }
 
+    /** A node has been told to shut down. */
+    public synchronized void onShutdownStarted(long now, String node) {
+        nodes.startShutdown(now, node);
+    }
+
+    /**
+     * A node is about to be killed because its shutdown has taken its time. It owes nothing to the requests that it had
+     * before, and an answer to those that came late.
+     */
+    public synchronized void onKilledAtShutdown(String node) {
+        requestsOf(node).filter(request -> !nodes.isLateForShutdown(request)).forEach(request -> request.waived = true);
+    }
+
     /** A node was killed: it owes nothing to its requests and knows nothing of earlier notifications. */
     public synchronized void onNodeKilled(String node) {
         waiveRequestsOf(node);
@@ -182,25 +182,27 @@
 
     /** A node has restarted and knows nothing of earlier notifications. */
     public synchronized void onNodeRestarted(String node) {
-        drainNotifiedAt.keySet().removeIf(key -> key.node().equals(node));
+        nodes.restart(node);
     }
 
     private void waiveRequestsOf(String node) {
-        requests.values().stream()
-                .filter(request -> request.node.equals(node))
-                .forEach(request -> request.waived = true);
+        requestsOf(node).forEach(request -> request.waived = true);
+    }
+
+    private Stream<TrackedRequest> requestsOf(String node) {
+        return requests.values().stream().filter(request -> request.node.equals(node));
     }
 
     // ---- Discovery ------------------------------------------------------------------------------------
 
     /** A node was notified that a backend drains or is gone. */
     public synchronized void onDrainNotified(long now, String node, String backend) {
-        drainNotifiedAt.putIfAbsent(new Notification(node, backend), now);
+        nodes.notifyDrain(now, node, backend);
     }
 
     /** A node was notified that a backend is ready. */
     public synchronized void onReadyNotified(String node, String backend) {
-        drainNotifiedAt.remove(new Notification(node, backend));
+        nodes.notifyReady(node, backend);
     }
 
     // ---- Backends -------------------------------------------------------------------------------------
@@ -210,7 +212,7 @@
             long now, String requestId, String backend, BooleanSupplier connectionOpen) {
         TrackedRequest request = requests.get(requestId);
         if (request == null) {
-            recordViolation(
+            violations.add(
                     Rule.RESPONSE_MATCHES_BACKEND, "a backend received " + requestId + ", which no client had sent");
             return;
         }
@@ -225,25 +227,25 @@
 
     private void checkAttempt(long now, String requestId, TrackedRequest request, String backend) {
         if (now - DISCONNECT_REACTION_NANOS - EVENT_ORDER_TOLERANCE_NANOS > request.disconnectedAt) {
-            recordViolation(
+            violations.add(
                     Rule.NO_ATTEMPT_AFTER_DISCONNECT,
                     requestId + " was sent " + millis(now - request.disconnectedAt)
                             + " ms after its client had disconnected");
         }
         if (request.nonIdempotent && request.executed) {
-            recordViolation(
+            violations.add(
                     Rule.NON_IDEMPOTENT_RUNS_ONCE,
                     requestId + " was sent to " + backend + " after it had run at " + request.backend);
         }
         if (++request.attempts > maxAttempts) {
-            recordViolation(Rule.ATTEMPT_LIMIT, requestId + " had " + request.attempts + " attempts");
+            violations.add(Rule.ATTEMPT_LIMIT, requestId + " had " + request.attempts + " attempts");
         }
     }
 
     private void checkDrain(long now, String requestId, TrackedRequest request, String backend) {
-        Long notifiedAt = drainNotifiedAt.get(new Notification(request.node, backend));
-        if (notifiedAt != null && now > notifiedAt + drainGraceNanos + EVENT_ORDER_TOLERANCE_NANOS) {
-            recordViolation(
+        long notifiedAt = nodes.drainNotifiedAt(request.node, backend);
+        if (notifiedAt != NodeStates.NEVER && now > notifiedAt + drainGraceNanos + EVENT_ORDER_TOLERANCE_NANOS) {
+            violations.add(
                     Rule.NO_ATTEMPT_TO_DRAINING_BACKEND,
                     requestId + " went to " + backend + " " + millis(now - notifiedAt)
                             + " ms after the node was notified of its drain");
@@ -256,7 +258,7 @@
         if (request != null
                 && request.deadlineAt != Long.MAX_VALUE
                 && now + timeoutNanos > request.deadlineAt + DEADLINE_TOLERANCE_NANOS) {
-            recordViolation(
+            violations.add(
                     Rule.FORWARDED_DEADLINE,
                     requestId + " was forwarded with " + millis(now + timeoutNanos - request.deadlineAt)
                             + " ms more than its client has");
@@ -265,19 +267,32 @@
 
     /** A backend has accepted the request, so that it may take effect from now on. */
     public synchronized void onExecutionStarted(String requestId) {
-        TrackedRequest request = requests.get(requestId);
-        if (request != null) {
-            request.executed = true;
-        }
+        findRequest(requestId).ifPresent(request -> request.executed = true);
+    }
+
+    /** From now on a backend sends bytes that never become an event. */
+    public synchronized void onProgressEnded(long now, String requestId) {
+        findRequest(requestId).ifPresent(request -> progressRules.onProgressEnded(now, request));
+    }
+
+    /** A backend begins to write an event slowly. */
+    public synchronized void onSlowWritingStarted() {
+        progressRules.onSlowWritingStarted();
+    }
+
+    /** A node has ended an attempt whose sound answer was being written slowly for this time. */
+    public synchronized void onSlowAnswerCut(String requestId, long writingNanos) {
+        findRequest(requestId).ifPresent(request -> progressRules.onSlowAnswerCut(requestId, request, writingNanos));
+    }
+
+    private Optional<TrackedRequest> findRequest(String requestId) {
+        return Optional.ofNullable(requests.get(requestId));
     }
 
     /** A backend has written a complete response with this checksum. */
     public synchronized void onAttemptCompleted(long now, String requestId, String backend, long checksum) {
         endAttempt(now, requestId, backend);
-        TrackedRequest request = requests.get(requestId);
-        if (request != null) {
-            request.completedChecksums.add(checksum);
-        }
+        findRequest(requestId).ifPresent(request -> request.completedChecksums.add(checksum));
     }
 
     /** An attempt ended at its backend without a complete response. */
@@ -291,7 +306,7 @@
             return;
         }
         if (request.overlapStartedAt >= 0 && now - request.overlapStartedAt > EVENT_ORDER_TOLERANCE_NANOS) {
-            recordViolation(
+            violations.add(
                     Rule.NO_CONCURRENT_ATTEMPTS,
                     requestId + " was at two backends for " + millis(now - request.overlapStartedAt) + " ms");
         }
@@ -303,11 +318,7 @@
 
     /** A backend in its slow start has collapsed under the work that it received. */
     public synchronized void onBackendCollapsed(String backend) {
-        recordViolation(Rule.NO_OVERLOAD_IN_SLOW_START, backend + " collapsed");
-    }
-
-    private void recordViolation(Rule rule, String description) {
-        violations.computeIfAbsent(rule, key -> new ArrayList<>()).add(description);
+        violations.add(Rule.NO_OVERLOAD_IN_SLOW_START, backend + " collapsed");
     }
 
     private static long millis(long nanos) {
@@ -318,16 +329,21 @@
 
     /** Returns the descriptions of all violations by rule; a rule that was kept is absent. */
     public synchronized Map<Rule, List<String>> violations() {
-        return new TreeMap<>(violations);
+        return violations.byRule();
+    }
+
+    /** Returns how many responses went on without an event, and how many had one that was written slowly. */
+    public synchronized String progressTotals() {
+        return progressRules.totals();
     }
 
     /** Returns how often this rule was violated. */
     public synchronized int violationCount(Rule rule) {
-        return violations.getOrDefault(rule, List.of()).size();
+        return violations.count(rule);
     }
 
     /** Returns how often all rules together were violated. */
     public synchronized int violationCount() {
-        return violations.values().stream().mapToInt(List::size).sum();
+        return violations.count();
     }
 }
--- a/lab/src/main/java/fawnlb/lab/scenario/FaultPlan.java
+++ b/lab/src/main/java/fawnlb/lab/scenario/FaultPlan.java
@@ -42,6 +42,10 @@
 
     private static void addFaults(List<PlannedRequest> requests, ResponseForm form, int responseBytes, Random random) {
         for (Fault.Kind kind : Fault.Kind.values()) {
+            if (kind.concernsProgress()) {
+                // They take seconds each, and the soak has them.
+                continue;
+            }
             int offsets = kind.isPositional() ? responseBytes : 1;
             for (int offset = 0; offset < offsets; offset++) {
                 Fault fault = new Fault(kind, offset, PAUSE_NANOS);
--- a/lab/src/main/java/fawnlb/lab/soak/BackendFaults.java
+++ b/lab/src/main/java/fawnlb/lab/soak/BackendFaults.java
@@ -7,8 +7,12 @@
 import fawnlb.lab.testbed.IoTask;
 import fawnlb.lab.testbed.Testbed;
 import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.function.Predicate;
 
 /** Faults of backends and of the discovery service. Methods last as long as their faults. Thread-safe. */
 final class BackendFaults {
@@ -22,6 +26,11 @@
     /** A third of the responses has a fault, within the first bytes. */
     private static final int CORRUPTION_INTERVAL = 3;
 
+    private static final List<Fault.Kind> CORRUPTION_KINDS = kinds(kind -> !kind.concernsProgress());
+
+    private static final int PROGRESS_FAULT_INTERVAL = 16;
+    private static final List<Fault.Kind> PROGRESS_KINDS = kinds(Fault.Kind::concernsProgress);
+
     private static final int MAX_FAULT_OFFSET = 900;
     private static final long FAULT_PAUSE_NANOS = 50_000_000;
 
@@ -37,6 +46,10 @@
                 new AtomicInteger(FIRST_REPLACEMENT_NUMBER + testbed.backends().size());
     }
 
+    private static List<Fault.Kind> kinds(Predicate<Fault.Kind> selected) {
+        return Arrays.stream(Fault.Kind.values()).filter(selected).toList();
+    }
+
     /** Ends a backend's process and restarts it. */
     void crash(EngineServer backend, int durationMillis) throws IOException, InterruptedException {
         stopAndRestart(backend, backend::crash, durationMillis);
@@ -89,21 +102,35 @@
     /** Injects faults into a part of a backend's responses, which request id and selector determine. */
     void corruptResponses(EngineServer backend, int selector, int durationMillis)
             throws IOException, InterruptedException {
-        testbed.runOnBackends(() -> backend.injectFaults(requestId -> selectFault(requestId, selector)));
+        selectFaults(
+                List.of(backend), requestId -> selectFault(requestId, selector, CORRUPTION_INTERVAL, CORRUPTION_KINDS));
         TimeUnit.MILLISECONDS.sleep(durationMillis);
-        testbed.runOnBackends(() -> backend.injectFaults(requestId -> null));
+        selectFaults(List.of(backend), BackendFaults::selectProgressFault);
+    }
+
+    /** Lets some responses of all backends go on without an event, or write one slowly, for the rest of the run. */
+    void injectProgressFaults() throws IOException, InterruptedException {
+        selectFaults(testbed.backends(), BackendFaults::selectProgressFault);
     }
 
-    private static Fault selectFault(String requestId, int selector) {
+    private static Fault selectProgressFault(String requestId) {
+        return selectFault(requestId, 0, PROGRESS_FAULT_INTERVAL, PROGRESS_KINDS);
+    }
+
+    private static Fault selectFault(String requestId, int selector, int interval, List<Fault.Kind> kinds) {
         int hash = requestId.hashCode();
-        if (Math.floorMod(hash + selector, CORRUPTION_INTERVAL) != 0) {
+        if (Math.floorMod(hash + selector, interval) != 0) {
             return null;
         }
-        Fault.Kind[] kinds = Fault.Kind.values();
-        Fault.Kind kind = kinds[Math.floorMod(hash / CORRUPTION_INTERVAL + selector, kinds.length)];
+        Fault.Kind kind = kinds.get(Math.floorMod(hash / interval + selector, kinds.size()));
         return new Fault(kind, Math.floorMod(hash, MAX_FAULT_OFFSET), FAULT_PAUSE_NANOS);
     }
 
+    private void selectFaults(List<EngineServer> backends, Function<String, Fault> selector)
+            throws IOException, InterruptedException {
+        testbed.runOnBackends(() -> backends.forEach(backend -> backend.injectFaults(selector)));
+    }
+
     /** Takes discovery down for a time; outages follow each other. */
     void interruptDiscovery(int durationMillis) throws IOException, InterruptedException {
         synchronized (discoveryLock) {
--- a/lab/src/main/java/fawnlb/lab/soak/InjectedFault.java
+++ b/lab/src/main/java/fawnlb/lab/soak/InjectedFault.java
@@ -39,5 +39,16 @@
     /** Clients send a part of a request and wait. */
     PARTIAL_REQUESTS,
     /** Clients connect and send nothing. */
-    IDLE_CONNECTIONS
+    IDLE_CONNECTIONS,
+    /** More clients than a node has descriptors connect and send nothing. */
+    IDLE_CROWD,
+    /** Hundreds of clients stop half way through large bodies. */
+    SLOW_SENDER_CROWD,
+    /** Hundreds of clients request long answers and read nothing. */
+    SLOW_READER_CROWD;
+
+    /** Whether the fault is one of many clients at a time. */
+    boolean isCrowd() {
+        return this == IDLE_CROWD || this == SLOW_SENDER_CROWD || this == SLOW_READER_CROWD;
+    }
 }
--- a/lab/src/main/java/fawnlb/lab/soak/MalformedClients.java
+++ b/lab/src/main/java/fawnlb/lab/soak/MalformedClients.java
@@ -9,9 +9,14 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** Clients that connect to a node, write a part of a request or nothing, and keep the connection. Not thread-safe. */
+/**
+ * Clients that connect to a node, write a request, a part of one or nothing, and keep the connection without reading.
+ * Not thread-safe.
+ */
 final class MalformedClients implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    /** So that what they don't read stays with the node. */
+    private static final int RECEIVE_BUFFER_BYTES = 4096;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -25,17 +30,26 @@
     /** Opens connections, fewer if the node refuses one: it may be down at the moment. */
     void connect(int count, String partialRequest) {
         for (int i = 0; i < count; i++) {
-            try {
-                Socket socket = new Socket();
-                socket.connect(node, CONNECT_TIMEOUT_MILLIS);
-                socket.getOutputStream().write(partialRequest.getBytes(StandardCharsets.US_ASCII));
-                sockets.add(socket);
-            } catch (IOException e) {
+            if (!connect(partialRequest)) {
                 return;
             }
         }
     }
 
+    /** Opens a connection; returns false if the node refuses it. */
+    boolean connect(String request) {
+        Socket socket = new Socket();
+        try {
+            socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+            socket.connect(node, CONNECT_TIMEOUT_MILLIS);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            sockets.add(socket);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Returns whether the node closes all connections within this time. */
     boolean areClosedWithin(long timeoutMillis) {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
--- a/lab/src/main/java/fawnlb/lab/soak/NodeFaults.java
+++ b/lab/src/main/java/fawnlb/lab/soak/NodeFaults.java
@@ -1,5 +1,6 @@
 package fawnlb.lab.soak;
 
+import fawnlb.lab.load.PersistentClients;
 import fawnlb.lab.node.NodeProcess;
 import fawnlb.lab.shim.FaultShim;
 import fawnlb.lab.testbed.Testbed;
@@ -12,8 +13,13 @@
 
 /** Faults of the nodes' processes and of their system calls. Methods last as long as their faults. Thread-safe. */
 final class NodeFaults {
-    /** A shutdown may take as long as a request may wait and its answer may run. */
-    private static final long SHUTDOWN_TIMEOUT_MILLIS = 30_000;
+    /** A node is killed this long after its shutdown has begun: the longest deadline, counted as 3 s, and 0.7 s. */
+    private static final long SHUTDOWN_TIMEOUT_MILLIS = 3700;
+    /** What a shutdown may take at the end of a run, when no more requests come. */
+    private static final long LAST_SHUTDOWN_TIMEOUT_MILLIS = 30_000;
+
+    private static final int PERSISTENT_CLIENTS = 6;
+    private static final long SIGNAL_INTERVAL_MILLIS = 10;
     /** Exit status after SIGTERM: 128 and the number of the signal. */
     private static final int SIGTERM_EXIT_STATUS = 143;
 
@@ -61,29 +67,74 @@
 
     // ---- Processes ------------------------------------------------------------------------------------
 
-    /** Shuts a node down and starts it again. */
-    void shutDownAndRestart(int nodeIndex) throws IOException, InterruptedException {
+    /**
+     * Shuts a node down by signals, and starts it again. Clients send on the connections that they have until the node
+     * has ended or is killed.
+     */
+    void shutDownAndRestart(int nodeIndex, int selector) throws IOException, InterruptedException {
         runOnNode(nodeIndex, node -> {
-            node.sendSignal("TERM");
-            int status = node.awaitExit(SHUTDOWN_TIMEOUT_MILLIS);
-            if (status != SIGTERM_EXIT_STATUS) {
-                log.addFailure(node.name() + " ended with status " + status + " at a planned shutdown");
-            }
-            killAndStart(node, nodeIndex);
+            recordPeakMemory(node);
+            PersistentClients clients = testbed.createPersistentClients(node, log::countShutdownResponse);
+            testbed.runOnClients(() -> clients.start(PERSISTENT_CLIENTS));
+            TimeUnit.MILLISECONDS.sleep(SIGNAL_INTERVAL_MILLIS);
+            long shutdownAt = sendSignals(node, SignalSeries.of(selector));
+            awaitShutdownOrKill(node, shutdownAt);
+            testbed.runOnClients(clients::stop);
+            testbed.rules().onNodeRestarted(node.name());
+            startAndAwaitReady(node, nodeIndex);
         });
     }
 
+    private void recordPeakMemory(NodeProcess node) throws IOException {
+        if (node.isAlive()) {
+            log.recordPeakMemory(node.peakResidentBytes());
+        } else {
+            log.addFailure(node.name() + " had ended by itself");
+        }
+    }
+
+    /** Returns when the shutdown has begun, on the clock of {@link System#nanoTime}. */
+    private long sendSignals(NodeProcess node, List<String> signals) throws IOException, InterruptedException {
+        long shutdownAt = 0;
+        for (String signal : signals) {
+            if (SignalSeries.isShutdown(signal) && shutdownAt == 0) {
+                shutdownAt = System.nanoTime();
+                testbed.rules().onShutdownStarted(testbed.now(), node.name());
+            }
+            node.sendSignal(signal);
+            TimeUnit.MILLISECONDS.sleep(SIGNAL_INTERVAL_MILLIS);
+        }
+        return shutdownAt;
+    }
+
+    private void awaitShutdownOrKill(NodeProcess node, long shutdownAt) throws InterruptedException {
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - shutdownAt);
+        int status = node.awaitExit(SHUTDOWN_TIMEOUT_MILLIS - elapsedMillis);
+        if (node.isAlive()) {
+            log.countKill();
+            testbed.rules().onKilledAtShutdown(node.name());
+            node.close();
+        } else if (status != SIGTERM_EXIT_STATUS) {
+            log.addFailure(node.name() + " ended with status " + status + " at a planned shutdown");
+        }
+        // What the kernel has of the node's last answers is read by the clients.
+        TimeUnit.MILLISECONDS.sleep(RESTART_DELAY_MILLIS);
+    }
+
     /** Kills a node and starts it again. */
     void killAndRestart(int nodeIndex) throws IOException, InterruptedException {
-        runOnNode(nodeIndex, node -> killAndStart(node, nodeIndex));
+        runOnNode(nodeIndex, node -> {
+            recordPeakMemory(node);
+            // Requests that it receives until its end are waived too.
+            testbed.rules().onNodeKilled(node.name());
+            node.close();
+            testbed.rules().onNodeKilled(node.name());
+            TimeUnit.MILLISECONDS.sleep(RESTART_DELAY_MILLIS);
+            startAndAwaitReady(node, nodeIndex);
+        });
     }
 
-    private void killAndStart(NodeProcess node, int nodeIndex) throws IOException, InterruptedException {
-        // Requests that it receives until its end are waived too.
-        testbed.rules().onNodeKilled(node.name());
-        node.close();
-        testbed.rules().onNodeKilled(node.name());
-        TimeUnit.MILLISECONDS.sleep(RESTART_DELAY_MILLIS);
+    private void startAndAwaitReady(NodeProcess node, int nodeIndex) throws IOException, InterruptedException {
         long startedAt = System.nanoTime();
         testbed.startNode(nodeIndex, Map.of());
         while (!node.isReady()) {
@@ -116,10 +167,11 @@
     /** Shuts all nodes down at the same time; each has to end as it should. */
     void shutDownAll() throws IOException, InterruptedException {
         for (NodeProcess node : testbed.nodes()) {
+            recordPeakMemory(node);
             node.sendSignal("TERM");
         }
         for (NodeProcess node : testbed.nodes()) {
-            int status = node.awaitExit(SHUTDOWN_TIMEOUT_MILLIS);
+            int status = node.awaitExit(LAST_SHUTDOWN_TIMEOUT_MILLIS);
             if (status != SIGTERM_EXIT_STATUS) {
                 log.addFailure(node.name() + " ended with status " + status);
             }
--- a/lab/src/main/java/fawnlb/lab/soak/Soak.java
+++ b/lab/src/main/java/fawnlb/lab/soak/Soak.java
@@ -11,6 +11,7 @@
 import fawnlb.lab.testbed.Testbed;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -35,6 +36,9 @@
     private static final int MIN_FAULT_INTERVAL_MILLIS = 150;
 
     private static final int SELECTOR_RANGE = 1 << 20;
+    /** Every third seed has crowds of clients among its faults. */
+    private static final int CROWD_INTERVAL = 3;
+
     /** Far more than the longest fault lasts. */
     private static final long FAULT_TIMEOUT_SECONDS = 120;
 
@@ -59,8 +63,11 @@
             generator.setDeadlineGrace(DEADLINE_GRACE_NANOS);
             generator.includeNonIdempotentRequests();
             log.start();
+            SoakFaults faults = new SoakFaults(testbed, log, nodeFaults, targets);
+            faults.start();
             testbed.runOnClients(() -> generator.start(turns));
-            injectFaults(new SoakFaults(testbed, log, nodeFaults, targets), log, random, length, seconds);
+            List<InjectedFault> kinds = faultKinds(seed);
+            injectFaults(faults, kinds, log, random, length, seconds);
             nodeFaults.removeSystemCallFaults();
             Testbed.awaitCompletion(generator.statistics());
             nodeFaults.shutDownAll();
@@ -68,16 +75,26 @@
         }
     }
 
+    private static List<InjectedFault> faultKinds(long seed) {
+        return Arrays.stream(InjectedFault.values())
+                .filter(fault -> !fault.isCrowd() || seed % CROWD_INTERVAL == 0)
+                .toList();
+    }
+
     /** Injects faults for this time, which overlap, and waits until all of them are over. */
     private static void injectFaults(
-            SoakFaults faults, SoakLog log, RandomGenerator random, RunLength length, int seconds)
+            SoakFaults faults,
+            List<InjectedFault> kinds,
+            SoakLog log,
+            RandomGenerator random,
+            RunLength length,
+            int seconds)
             throws IOException, InterruptedException {
         ExecutorService executor = Executors.newCachedThreadPool();
         try {
             List<Future<?>> pendingFaults = new ArrayList<>();
-            InjectedFault[] kinds = InjectedFault.values();
             while (log.elapsedNanos() < TimeUnit.SECONDS.toNanos(seconds)) {
-                InjectedFault fault = kinds[random.nextInt(kinds.length)];
+                InjectedFault fault = kinds.get(random.nextInt(kinds.size()));
                 int selector = random.nextInt(SELECTOR_RANGE);
                 pendingFaults.add(executor.submit(() -> {
                     faults.inject(fault, selector);
--- a/lab/src/main/java/fawnlb/lab/soak/SoakFaults.java
+++ b/lab/src/main/java/fawnlb/lab/soak/SoakFaults.java
@@ -28,6 +28,7 @@
     private final NodeFaults nodeFaults;
     private final BackendFaults backendFaults;
     private final ClientFaults clientFaults;
+    private final ClientCrowds crowds;
 
     SoakFaults(Testbed testbed, SoakLog log, NodeFaults nodeFaults, ExclusiveTargets targets) {
         this.testbed = testbed;
@@ -35,6 +36,12 @@
         this.nodeFaults = nodeFaults;
         this.backendFaults = new BackendFaults(testbed, targets);
         this.clientFaults = new ClientFaults(log);
+        this.crowds = new ClientCrowds(testbed.rules());
+    }
+
+    /** Begins the faults that last for the whole run. */
+    void start() throws IOException, InterruptedException {
+        backendFaults.injectProgressFaults();
     }
 
     /** Injects a fault, and returns when it has been removed. */
@@ -55,13 +62,16 @@
             case PARTIAL_REQUESTS ->
                 clientFaults.sendPartialRequests(node(selector), 1 + selector % MAX_PARTIAL_REQUEST_BYTES);
             case IDLE_CONNECTIONS -> clientFaults.openIdleConnections(node(selector));
+            case IDLE_CROWD -> crowds.connectIdleClients(node(selector), durationMillis(selector));
+            case SLOW_SENDER_CROWD -> crowds.sendHalfBodies(node(selector), durationMillis(selector));
+            case SLOW_READER_CROWD -> crowds.requestUnreadAnswers(node(selector), durationMillis(selector));
         }
     }
 
     private void injectIntoProcess(InjectedFault fault, int selector) throws IOException, InterruptedException {
         int nodeIndex = nodeIndex(selector);
         switch (fault) {
-            case NODE_SHUTDOWN -> nodeFaults.shutDownAndRestart(nodeIndex);
+            case NODE_SHUTDOWN -> nodeFaults.shutDownAndRestart(nodeIndex, selector);
             case NODE_KILL -> nodeFaults.killAndRestart(nodeIndex);
             case NODE_RELOAD -> nodeFaults.reload(nodeIndex);
             case NODE_PAUSE -> nodeFaults.pause(nodeIndex, selector % MAX_PAUSE_MILLIS);
--- a/lab/src/main/java/fawnlb/lab/soak/SoakReport.java
+++ b/lab/src/main/java/fawnlb/lab/soak/SoakReport.java
@@ -44,18 +44,35 @@
         report.addZeroCheck(
                 "shutdowns, readiness and partial requests", log.failures().size());
         report.addZeroCheck("failures in the nodes' logs", loggedFailures.size());
+        addPeakMemory(report);
+        addMeasurements(report, statistics, seed);
+        if (!violations.isEmpty() || !log.failures().isEmpty() || !loggedFailures.isEmpty()) {
+            printDetails(violations, loggedFailures);
+            copyLogs();
+        }
+        return report;
+    }
+
+    private void addPeakMemory(ScenarioReport report) {
+        long peakMemoryMegabytes = log.peakMemoryBytes() >> 20;
+        report.addCheck(
+                "peak memory of a node, MB",
+                Long.toString(peakMemoryMegabytes),
+                Integer.toString(NodeProcess.MEMORY_LIMIT_MEGABYTES),
+                peakMemoryMegabytes <= NodeProcess.MEMORY_LIMIT_MEGABYTES);
+    }
+
+    private void addMeasurements(ScenarioReport report, LoadStatistics statistics, long seed) {
         report.addMeasurement(
                 "seed, nodes, faults",
                 seed + ", " + testbed.nodes().size() + ", " + log.faults().size());
+        report.addMeasurement(
+                "responses without progress, written slowly", testbed.rules().progressTotals());
+        report.addMeasurement("responses around shutdowns by status", log.shutdownTotals());
         report.addMeasurement("turns", statistics.outcomeTotals().toString());
         report.addMeasurement(
                 "system calls that failed",
                 nodeFaults.hasShims() ? Long.toString(nodeFaults.failedSystemCalls()) : "none: no C compiler");
-        if (!violations.isEmpty() || !log.failures().isEmpty() || !loggedFailures.isEmpty()) {
-            printDetails(violations, loggedFailures);
-            copyLogs();
-        }
-        return report;
     }
 
     private List<String> findLoggedFailures() throws IOException {
--- a/lab/src/main/java/fawnlb/lab/testbed/Testbed.java
+++ b/lab/src/main/java/fawnlb/lab/testbed/Testbed.java
@@ -12,6 +12,7 @@
 import fawnlb.lab.load.LoadClient;
 import fawnlb.lab.load.LoadGenerator;
 import fawnlb.lab.load.LoadStatistics;
+import fawnlb.lab.load.PersistentClients;
 import fawnlb.lab.node.NodeConfiguration;
 import fawnlb.lab.node.NodeFailedException;
 import fawnlb.lab.node.NodeProcess;
@@ -25,6 +26,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -70,6 +73,7 @@
     private final RuleChecker rules = new RuleChecker(MAX_ATTEMPTS, DRAIN_GRACE_NANOS);
     private final List<EngineServer> backends = new ArrayList<>();
     private final List<NodeProcess> nodes = new ArrayList<>();
+    private final AtomicLong lastPersistentRequest = new AtomicLong();
     private DiscoveryServer discovery;
 
     /** Creates a testbed without backends and nodes. */
@@ -263,6 +267,20 @@
         return new LoadClient(clientWorker.getIoThread(), clientTimers, rules, node.name(), address);
     }
 
+    /**
+     * Creates clients of a node that send on and on, to be started on the thread of the clients.
+     *
+     * @param onStatus learns the status of each response, 0 for a connection that ended without one
+     */
+    public PersistentClients createPersistentClients(NodeProcess node, Consumer<Integer> onStatus) {
+        return new PersistentClients(
+                createClient(node, node.address()),
+                clientTimers,
+                rules,
+                () -> "p" + lastPersistentRequest.incrementAndGet(),
+                onStatus);
+    }
+
     /** Creates a load generator for all nodes, whose statistics cover a run of this duration. */
     public LoadGenerator createLoadGenerator(int seconds, long seed) {
         Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
--- a/lab/src/test/java/fawnlb/lab/rules/RuleCheckerTest.java
+++ b/lab/src/test/java/fawnlb/lab/rules/RuleCheckerTest.java
@@ -12,7 +12,7 @@
 
     private static Set<Rule> violationsAfter(Consumer<RuleChecker> events) {
         RuleChecker rules = new RuleChecker(6, 750 * NANOS_PER_MILLI);
-        rules.onRequestSent("r", "n0");
+        rules.onRequestSent(0, "r", "n0");
         events.accept(rules);
         return rules.violations().keySet();
     }
@@ -35,6 +35,44 @@
         assertEquals(Set.of(Rule.EXACTLY_ONE_RESPONSE), violationsAfter(rules -> rules.onConnectionLost("r")));
     }
 
+    @Test
+    public void requestThatCameLateInAShutdownIsOwedItsAnswerWhenTheNodeIsKilled() {
+        for (long sentMillis : new long[] {700, 701}) {
+            Consumer<RuleChecker> shutdown = rules -> {
+                rules.onShutdownStarted(0, "n0");
+                rules.onRequestSent(sentMillis * NANOS_PER_MILLI, "r", "n0");
+                rules.onKilledAtShutdown("n0");
+            };
+            Set<Rule> expected = sentMillis > 700 ? Set.of(Rule.EXACTLY_ONE_RESPONSE) : Set.of();
+            assertEquals(expected, violationsAfter(shutdown.andThen(rules -> rules.onConnectionLost("r"))));
+            assertEquals(
+                    expected,
+                    violationsAfter(
+                            shutdown.andThen(rules -> rules.onStreamBroken(sentMillis * NANOS_PER_MILLI, "r"))));
+        }
+        assertEquals("without a shutdown", Set.of(), violationsAfter(rules -> rules.onStreamBroken(0, "r")));
+    }
+
+    @Test
+    public void clientThatIsKeptWithoutEventsIsAViolation() {
+        for (long endMillis : new long[] {5049, 5051}) {
+            Set<Rule> expected = endMillis > 5050 ? Set.of(Rule.NO_WAIT_WITHOUT_PROGRESS) : Set.of();
+            assertEquals(expected, violationsAfter(rules -> {
+                rules.onProgressEnded(0, "r");
+                rules.onStreamBroken(endMillis * NANOS_PER_MILLI, "r");
+            }));
+        }
+    }
+
+    @Test
+    public void slowAnswerThatIsCutOffIsAViolationUnlessItsNodeWasKilled() {
+        assertEquals(Set.of(Rule.SLOW_ANSWER_IS_KEPT), violationsAfter(rules -> rules.onSlowAnswerCut("r", 0)));
+        assertEquals(Set.of(), violationsAfter(rules -> {
+            rules.onNodeKilled("n0");
+            rules.onSlowAnswerCut("r", 0);
+        }));
+    }
+
     @Test
     public void overlappingAttemptsAreAViolation() {
         assertEquals(Set.of(Rule.NO_CONCURRENT_ATTEMPTS), violationsAfter(rules -> {
--- a/lab/src/test/java/fawnlb/lab/shim/SystemFaultsIT.java
+++ b/lab/src/test/java/fawnlb/lab/shim/SystemFaultsIT.java
@@ -157,7 +157,7 @@
         shim.fail(SystemCall.ACCEPT, Errno.ENFILE, 1);
         try (Socket socket = connect(node)) {
             long connectedAt = testbed.now();
-            testbed.rules().onRequestSent(REQUEST_ID, node.name());
+            testbed.rules().onRequestSent(connectedAt, REQUEST_ID, node.name());
             testbed.rules().setDeadline(REQUEST_ID, connectedAt + 4 * NANOS_PER_SECOND);
             PostRequest request =
                     completionRequest(COMPLETIONS_PATH, REQUEST_ID, "1", 4000).header("Connection", "close");
--- a/node/src/main/java/fawnlb/http/ResponseHead.java
+++ b/node/src/main/java/fawnlb/http/ResponseHead.java
@@ -13,7 +13,7 @@
  */
 public record ResponseHead(int status, Map<String, String> headers, boolean keepAlive) {
     /** The headers that are read here. The others are dropped: a head is held for as long as its response. */
-    public static final Set<String> KNOWN_HEADERS = Set.of("x-load", "x-not-run");
+    public static final Set<String> KNOWN_HEADERS = Set.of("x-load", "x-not-run", "retry-after");
 
     private static final int MAX_VALUE_LENGTH = 1024;
 
