Log streams that are cut at their clients, with request, backend and reason

A stream that ends before its answer is complete, for a reason on the backend's side, is an INFO line now, one a second for all, with the number of those left out.

--- a/node/src/main/java/fawnlb/backend/AttemptReporter.java
+++ b/node/src/main/java/fawnlb/backend/AttemptReporter.java
@@ -62,6 +62,10 @@
                 .backend(backend.identity().hostAndPort())
                 .reason(attemptEnd.label())
                 .toString());
+        if (isResponseReported && attemptEnd.isFaultOfBackend()) {
+            backend.cutStreamLog()
+                    .record(request.requestId(), backend.identity().hostAndPort(), attemptEnd);
+        }
         listener.onAttemptEnded(
                 attemptEnd,
                 tail.cachedTokens(),
--- a/node/src/main/java/fawnlb/backend/Backend.java
+++ b/node/src/main/java/fawnlb/backend/Backend.java
@@ -117,6 +117,10 @@
         return pool.limits();
     }
 
+    CutStreamLog cutStreamLog() {
+        return pool.cutStreamLog();
+    }
+
     StreamRegistry streams() {
         return pool.streams();
     }
--- a/node/src/main/java/fawnlb/backend/BackendPool.java
+++ b/node/src/main/java/fawnlb/backend/BackendPool.java
@@ -34,6 +34,7 @@
     private final XnioIoThread thread;
     private final Timers timers;
     private final Limits limits;
+    private final CutStreamLog cutStreamLog;
     private final Map<Long, Backend> backends = new HashMap<>();
     private final StreamRegistry streams;
     private int openSockets;
@@ -63,6 +64,7 @@
         this.thread = thread;
         this.timers = timers;
         this.limits = limits;
+        this.cutStreamLog = new CutStreamLog(timers);
         this.streams = streams;
     }
 
@@ -179,6 +181,10 @@
         return timers;
     }
 
+    CutStreamLog cutStreamLog() {
+        return cutStreamLog;
+    }
+
     Limits limits() {
         return limits;
     }
--- a/node/src/main/java/fawnlb/stream/AttemptEnd.java
+++ b/node/src/main/java/fawnlb/stream/AttemptEnd.java
@@ -23,6 +23,11 @@
         return reason == EndReason.STALLED || reason == EndReason.NO_PROGRESS || reason == EndReason.TIMED_OUT;
     }
 
+    /** Whether the backend, or the way to it, has ended the attempt before its response was complete. */
+    public boolean isFaultOfBackend() {
+        return reason.dependsOnProgress();
+    }
+
     /** What the load balancer gets to know of the attempt's end. */
     public AttemptOutcome outcome() {
         return reason.outcome();
--- a/node/src/test/java/fawnlb/server/ResponseStreamTest.java
+++ b/node/src/test/java/fawnlb/server/ResponseStreamTest.java
@@ -15,6 +15,7 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.CapturedLog;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -84,6 +85,22 @@
         }
     }
 
+    /** Guards against streams that are cut without a line in the log that says which and why. */
+    @Test
+    public void cutStreamIsLoggedWithRequestAndReason() throws Exception {
+        try (CapturedLog log = new CapturedLog("fawnlb.backend.CutStreamLog");
+                FakeHttpServer backend = FakeHttpServer.responding(stream(CONTENT_EVENT));
+                ServerHarness harness = ServerHarness.withStreams(SHORT_TIMEOUTS, backend)) {
+            harness.exchange(chat("id", 4000));
+            awaitTableWithoutStreams(harness);
+
+            assertEquals(
+                    List.of("stream cut request_id=id backend=" + backend.address()
+                            + " reason=cut-short-midway suppressed=0"),
+                    log.lines());
+        }
+    }
+
     /** The framing has ended and the response has not: the client must not take it for complete. */
     @Test
     public void responseWithoutFinalEventIsTruncated() throws Exception {
