Soak: excuse a killed node until its clients have learned of its end

A request that was written to a connection of the kernel's queue after the checker had waived the node's requests for the second time counted as lost, although no process was there to read it.

Excuses are counted, since failing reads and writes may overlap with a kill (RuleCheckerTest).

--- a/lab/src/main/java/fawnlb/lab/rules/NodeStates.java
+++ b/lab/src/main/java/fawnlb/lab/rules/NodeStates.java
@@ -1,9 +1,7 @@
 package fawnlb.lab.rules;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 /** What the checker knows of the nodes' circumstances. Belongs to the checker, under its lock. */
 final class NodeStates {
@@ -12,7 +10,9 @@
     /** A request that comes later after the start of a shutdown must be answered before the node is killed. */
     private static final long LATE_REQUEST_NANOS = 700_000_000;
 
-    private final Set<String> excused = new HashSet<>();
+    /** How many reasons there are to excuse a node. */
+    private final Map<String, Integer> excuses = new HashMap<>();
+
     /** When nodes that have not restarted since began their shutdown. */
     private final Map<String, Long> shutdownStartedAt = new HashMap<>();
 
@@ -22,15 +22,15 @@
     private record Notification(String node, String backend) {}
 
     void excuse(String node) {
-        excused.add(node);
+        excuses.merge(node, 1, Integer::sum);
     }
 
     void stopExcusing(String node) {
-        excused.remove(node);
+        excuses.merge(node, -1, Integer::sum);
     }
 
     boolean isExcused(String node) {
-        return excused.contains(node);
+        return excuses.getOrDefault(node, 0) > 0;
     }
 
     void startShutdown(long now, String node) {
--- a/lab/src/main/java/fawnlb/lab/soak/NodeFaults.java
+++ b/lab/src/main/java/fawnlb/lab/soak/NodeFaults.java
@@ -125,11 +125,12 @@
     void killAndRestart(int nodeIndex) throws IOException, InterruptedException {
         runOnNode(nodeIndex, node -> {
             recordPeakMemory(node);
-            // Requests that it receives until its end are waived too.
-            testbed.rules().onNodeKilled(node.name());
+            // What is written to its connections until clients learn of its end is waived too: nobody can have read it.
+            testbed.rules().excuseNode(node.name());
             node.close();
-            testbed.rules().onNodeKilled(node.name());
             TimeUnit.MILLISECONDS.sleep(RESTART_DELAY_MILLIS);
+            testbed.rules().stopExcusingNode(node.name());
+            testbed.rules().onNodeKilled(node.name());
             startAndAwaitReady(node, nodeIndex);
         });
     }
--- a/lab/src/test/java/fawnlb/lab/rules/RuleCheckerTest.java
+++ b/lab/src/test/java/fawnlb/lab/rules/RuleCheckerTest.java
@@ -223,4 +223,21 @@
                 Set.of(Rule.RESPONSE_MATCHES_BACKEND),
                 violationsAfter(rules -> rules.onAttemptReceived(0, "other", "a", () -> true)));
     }
+
+    @Test
+    public void nodeIsExcusedUntilAllReasonsForItAreOver() {
+        assertEquals(Set.of(), violationsAfter(rules -> {
+            rules.excuseNode("n0");
+            rules.excuseNode("n0");
+            rules.stopExcusingNode("n0");
+            rules.onRequestSent(0, "r", "n0");
+            rules.onConnectionLost("r");
+        }));
+        assertEquals(Set.of(Rule.EXACTLY_ONE_RESPONSE), violationsAfter(rules -> {
+            rules.excuseNode("n0");
+            rules.stopExcusingNode("n0");
+            rules.onRequestSent(0, "r", "n0");
+            rules.onConnectionLost("r");
+        }));
+    }
 }
