--- a/lab/src/main/java/fawnlb/lab/load/PersistentClients.java
+++ b/lab/src/main/java/fawnlb/lab/load/PersistentClients.java
@@ -58,7 +58,7 @@
         this.onStatus = onStatus;
     }
 
-    /** Lets so many clients begin. */
+    /** Starts this number of clients. */
     public void start(int count) {
         for (int i = 0; i < count; i++) {
             sendNext();
--- a/lab/src/main/java/fawnlb/lab/rules/ProgressRules.java
+++ b/lab/src/main/java/fawnlb/lab/rules/ProgressRules.java
@@ -27,7 +27,7 @@
     void onSlowAnswerCut(String requestId, TrackedRequest request, long writingNanos) {
         if (!request.waived) {
             violations.add(
-                    Rule.SLOW_ANSWER_IS_KEPT,
+                    Rule.SLOW_ANSWER_NOT_CUT,
                     requestId + " was cut off by " + request.node + " after "
                             + TimeUnit.NANOSECONDS.toMillis(writingNanos)
                             + " ms of an event that was being written");
@@ -38,7 +38,7 @@
         if (!request.waived && now - CLIENT_WAIT_NANOS > request.progressEndedAt) {
             violations.add(
                     Rule.NO_WAIT_WITHOUT_PROGRESS,
-                    requestId + " was kept by " + request.node + " for "
+                    requestId + " was left waiting by " + request.node + " for "
                             + TimeUnit.NANOSECONDS.toMillis(now - request.progressEndedAt)
                             + " ms after its last event");
         }
--- a/lab/src/main/java/fawnlb/lab/rules/Rule.java
+++ b/lab/src/main/java/fawnlb/lab/rules/Rule.java
@@ -25,5 +25,5 @@
     /** A stream ends in time at its client when its backend sends no more events, whatever else it sends. */
     NO_WAIT_WITHOUT_PROGRESS,
     /** A sound answer is not cut off because its backend writes slowly. */
-    SLOW_ANSWER_IS_KEPT
+    SLOW_ANSWER_NOT_CUT
 }
--- a/lab/src/main/java/fawnlb/lab/rules/RuleChecker.java
+++ b/lab/src/main/java/fawnlb/lab/rules/RuleChecker.java
@@ -161,7 +161,7 @@
         waiveRequestsOf(node);
     }
 
-    /** A node has been told to shut down. */
+    /** A node has got the signal to shut down. */
     public synchronized void onShutdownStarted(long now, String node) {
         nodes.startShutdown(now, node);
     }
--- a/lab/src/test/java/fawnlb/lab/rules/RuleCheckerTest.java
+++ b/lab/src/test/java/fawnlb/lab/rules/RuleCheckerTest.java
@@ -54,7 +54,7 @@
     }
 
     @Test
-    public void clientThatIsKeptWithoutEventsIsAViolation() {
+    public void clientThatWaitsTooLongWithoutEventsIsAViolation() {
         for (long endMillis : new long[] {5049, 5051}) {
             Set<Rule> expected = endMillis > 5050 ? Set.of(Rule.NO_WAIT_WITHOUT_PROGRESS) : Set.of();
             assertEquals(expected, violationsAfter(rules -> {
@@ -66,7 +66,7 @@
 
     @Test
     public void slowAnswerThatIsCutOffIsAViolationUnlessItsNodeWasKilled() {
-        assertEquals(Set.of(Rule.SLOW_ANSWER_IS_KEPT), violationsAfter(rules -> rules.onSlowAnswerCut("r", 0)));
+        assertEquals(Set.of(Rule.SLOW_ANSWER_NOT_CUT), violationsAfter(rules -> rules.onSlowAnswerCut("r", 0)));
         assertEquals(Set.of(), violationsAfter(rules -> {
             rules.onNodeKilled("n0");
             rules.onSlowAnswerCut("r", 0);
--- a/node/src/main/java/fawnlb/discovery/WatchCall.java
+++ b/node/src/main/java/fawnlb/discovery/WatchCall.java
@@ -16,7 +16,7 @@
 
     private boolean answered;
     private boolean silent;
-    /** When the list began of which parts have come, {@link #NO_LIST} if none has begun. */
+    /** When the object began of which parts have come, {@link #NO_LIST} if none has begun. */
     private long listSinceNanos = NO_LIST;
 
     WatchCall(Context context, InetSocketAddress address) {
--- a/node/src/main/java/fawnlb/http/BodyFraming.java
+++ b/node/src/main/java/fawnlb/http/BodyFraming.java
@@ -19,7 +19,7 @@
     private static final int BITS_PER_HEXADECIMAL_DIGIT = 4;
     private static final int FIRST_NON_ASCII = 0x80;
     /** A size line with no more digits than this, or than the largest chunk's so far, is like any other. */
-    private static final int MIN_USUAL_SIZE_DIGITS = 3;
+    private static final int MIN_EXPECTED_SIZE_DIGITS = 3;
 
     private static final String SIZE_END_CHARACTERS = "; \t\r";
     /** How much of a malformed length an error message quotes. */
@@ -39,7 +39,7 @@
     private final long maxChunkBytes;
     private State state;
     private long remainingBytes;
-    private int usualSizeDigits = MIN_USUAL_SIZE_DIGITS;
+    private int expectedSizeDigits = MIN_EXPECTED_SIZE_DIGITS;
     private int wellFormedFramingBytes;
 
     private BodyFraming(State state, long remainingBytes, long maxChunkBytes) {
@@ -113,8 +113,8 @@
     }
 
     /**
-     * How many bytes of the latest input were part of a size line without extension and with no more digits than usual,
-     * or of a line end. A message that is written slowly consists of these and its content alone.
+     * How many bytes of the latest input were part of a size line without extension and with no more digits than other
+     * chunks have, or of a line end. A message that is written slowly consists of these and its content alone.
      */
     int wellFormedFramingBytes() {
         return wellFormedFramingBytes;
@@ -124,7 +124,7 @@
         int start = input.position();
         String line = lines.readLine(input);
         String readSoFar = line == null ? lines.partialLine().toString() : line;
-        if (isUsual(readSoFar)) {
+        if (isExpected(readSoFar)) {
             wellFormedFramingBytes += input.position() - start;
         }
         if (line != null) {
@@ -134,9 +134,9 @@
         }
     }
 
-    private boolean isUsual(String line) {
+    private boolean isExpected(String line) {
         String text = line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
-        int maxLength = state == State.CHUNK_SIZE ? usualSizeDigits : 0;
+        int maxLength = state == State.CHUNK_SIZE ? expectedSizeDigits : 0;
         return text.length() <= maxLength && countDigits(text) == text.length();
     }
 
@@ -190,7 +190,7 @@
     private void beginChunk(long sizeBytes) throws MalformedMessageException {
         checkChunkSize(sizeBytes);
         remainingBytes = sizeBytes;
-        usualSizeDigits = Math.max(usualSizeDigits, hexadecimalDigits(sizeBytes));
+        expectedSizeDigits = Math.max(expectedSizeDigits, hexadecimalDigits(sizeBytes));
         state = sizeBytes == 0 ? State.TRAILERS : State.CHUNK_DATA;
         lines.resetLimit();
     }
--- a/node/src/main/java/fawnlb/stream/ProgressDetector.java
+++ b/node/src/main/java/fawnlb/stream/ProgressDetector.java
@@ -21,7 +21,7 @@
     private static final long MAX_NANOS_PER_EVENT_BYTE = 150 * MILLISECOND_NANOS;
     /** An event that is being written slowly may be this large, and larger if the answer had larger ones. */
     private static final int MIN_SLOW_EVENT_BYTES = 256;
-    /** No event shows yet how large the answer's events are; a first one may describe the whole answer. */
+    /** No event shows yet how large the answer's events are; a first one may be larger than the others. */
     private static final int MAX_SLOW_FIRST_EVENT_BYTES = 1024;
 
     private static final int SLOW_EVENT_GROWTH = 2;
--- a/node/src/main/java/fawnlb/translation/EventScanner.java
+++ b/node/src/main/java/fawnlb/translation/EventScanner.java
@@ -15,8 +15,8 @@
     private static final String CHAT_LAST_DATA = "[DONE]";
     private static final String MESSAGES_LAST_NAME = "message_stop";
     private static final Pattern MESSAGES_LAST_DATA = Pattern.compile("\"type\"\\s*:\\s*\"message_stop\"");
-    /** The beginning of an event's name or data is kept, to recognise the last event. */
-    private static final int MAX_KEPT_CHARACTERS = 64;
+    /** The first characters of an event's name and data are retained, to recognise the last event. */
+    private static final int MAX_RETAINED_CHARACTERS = 64;
 
     private enum Field {
         UNDECIDED,
@@ -149,7 +149,7 @@
     }
 
     private static void append(StringBuilder text, byte next) {
-        if (text.length() < MAX_KEPT_CHARACTERS) {
+        if (text.length() < MAX_RETAINED_CHARACTERS) {
             text.append((char) (next & 0xff));
         }
     }
--- a/node/src/test/java/fawnlb/http/ResponseParserTest.java
+++ b/node/src/test/java/fawnlb/http/ResponseParserTest.java
@@ -173,7 +173,7 @@
     private record Framing(String text, int wellFormedBytes) {}
 
     @Test
-    public void framingOfUsualChunksIsDistinguishedFromOther() throws MalformedResponseException {
+    public void framingLikeThatOfOtherChunksIsDistinguishedFromOther() throws MalformedResponseException {
         for (Framing framing : List.of(
                 new Framing("\r\n", 2),
                 new Framing("\r\n1a", 4),
--- a/node/src/test/java/fawnlb/server/SlowBackendTest.java
+++ b/node/src/test/java/fawnlb/server/SlowBackendTest.java
@@ -86,7 +86,7 @@
         assertTrue(received + " bytes", received < BODY_BYTES);
     }
 
-    /** Guards against requests that begin to run when their clients have long left. */
+    /** Guards against requests that begin to run when their clients have long disconnected. */
     @Test
     public void requestIsNotCompletedAfterItsClientHasLeft() throws Exception {
         try (ServerHarness harness = startServer()) {
@@ -101,7 +101,7 @@
         }
     }
 
-    /** Guards against requests that begin to run after their clients were told that they failed. */
+    /** Guards against requests that begin to run after their clients got a failure for them. */
     @Test
     public void requestIsNotCompletedAfterItsDeadline() throws Exception {
         try (ServerHarness harness = startServer();
--- a/node/src/test/java/fawnlb/server/StreamProgressTest.java
+++ b/node/src/test/java/fawnlb/server/StreamProgressTest.java
@@ -94,7 +94,7 @@
     @Test
     public void bytesThatBecomeNoEventDoNotKeepClientBeyondFiveSeconds() throws Exception {
         Map<String, Long> lastEventNanos = new ConcurrentHashMap<>();
-        Map<String, String> kept = new ConcurrentHashMap<>();
+        Map<String, String> waitedTooLong = new ConcurrentHashMap<>();
         runAll(
                 unsoundEndings(),
                 (name, connection) -> {
@@ -104,12 +104,12 @@
                 (name, response) -> {
                     Duration wait = Duration.ofNanos(System.nanoTime() - lastEventNanos.get(name));
                     if (wait.compareTo(CLIENT_WAIT_LIMIT) > 0) {
-                        kept.put(name, wait.toMillis() + " ms");
+                        waitedTooLong.put(name, wait.toMillis() + " ms");
                     }
                     assertTrue(name + ": " + response, response.contains(CONTENT_EVENT));
                     assertFalse(name + ": " + response, response.endsWith(LAST_CHUNK));
                 });
-        assertEquals(Map.of(), kept);
+        assertEquals(Map.of(), waitedTooLong);
     }
 
     /** Guards against the same where the answer is translated, or a broker reads along. */
@@ -120,7 +120,7 @@
         for (Object[] pair : BrokerFixture.dialectPairs()) {
             results.add(clients.submit(() -> {
                 try (BrokerFixture broker = new BrokerFixture((Dialect) pair[0], (Dialect) pair[1])) {
-                    assertClientOfBrokerIsNotKept(broker);
+                    assertClientOfBrokerIsReleased(broker);
                 }
                 return null;
             }));
@@ -131,7 +131,7 @@
         clients.shutdown();
     }
 
-    private static void assertClientOfBrokerIsNotKept(BrokerFixture broker) throws IOException {
+    private static void assertClientOfBrokerIsReleased(BrokerFixture broker) throws IOException {
         Script comments = onceThenRepeating("", chunk(": comment\n\n"), 300);
         broker.backendResponds((request, connection) -> {
             write(connection, openStream(broker.firstPart()));
--- a/node/src/test/java/fawnlb/stream/ProgressDetectorTest.java
+++ b/node/src/test/java/fawnlb/stream/ProgressDetectorTest.java
@@ -111,7 +111,7 @@
         assertEndsInTime(endAfterMillis(100, 30_000, (now, number) -> reportPartialEvent(now, number, false)));
     }
 
-    /** It can't be told from a sound one in time; the bound on its duration holds. */
+    /** It can't be distinguished from a sound one in time; the bound on its duration holds. */
     @Test
     public void endlessEventAtThePaceOfASoundOneIsBounded() {
         long endMillis = endAfterMillis(100, 60_000, (now, number) -> reportPartialEvent(now, number, true));
