Limit the bytes without an event by the ends of all events, sound or not

Cause: its events of 65,000 bytes hold no JSON, so that 256 KiB "without an event" came together after four of them.

The limit is counted from the end of any event with data now.

--- a/node/src/main/java/fawnlb/backend/RelayedBody.java
+++ b/node/src/main/java/fawnlb/backend/RelayedBody.java
@@ -64,6 +64,7 @@
                 ? EventProgress.NONE
                 : new EventProgress(
                         scanner.completedEvents(),
+                        scanner.hasEventEnd(),
                         scanner.largestEventBytes(),
                         scanner.partialEventBytes(),
                         scanner.isPartialEventSound(),
--- a/node/src/main/java/fawnlb/stream/ProgressDetector.java
+++ b/node/src/main/java/fawnlb/stream/ProgressDetector.java
@@ -73,6 +73,9 @@
         if (latest.completedEvents() > 0) {
             restart(nowNanos);
         }
+        if (latest.hasEventEnd()) {
+            bytesSinceEvent = 0;
+        }
         if (newBytes > 0) {
             lastEventByteNanos = nowNanos;
             if (isWithinEventBounds()) {
@@ -91,8 +94,8 @@
     }
 
     /**
-     * Takes bytes that were relayed and completed no event. A client that reads them slowly is not waiting, so that
-     * their number is limited, and not their time alone.
+     * Takes bytes that were relayed and ended no event. A client that reads them slowly is not waiting, so that their
+     * number is limited, and not their time alone.
      */
     void onRelayedWithoutEvent(long bytes) {
         bytesSinceEvent += bytes;
--- a/node/src/main/java/fawnlb/stream/ResponseStream.java
+++ b/node/src/main/java/fawnlb/stream/ResponseStream.java
@@ -128,7 +128,7 @@
     /** Bytes for the client were read. The backend is not waited for until the client has read them. */
     public void onChunk(long nowNanos, int bytes, EventProgress events) {
         takeEvents(nowNanos, events);
-        if (events.completedEvents() == 0) {
+        if (!events.hasEventEnd()) {
             eventProgress.onRelayedWithoutEvent(bytes);
         }
         silence.recordChunk(nowNanos, progress);
--- a/node/src/main/java/fawnlb/translation/EventScanner.java
+++ b/node/src/main/java/fawnlb/translation/EventScanner.java
@@ -37,6 +37,7 @@
     private boolean isDataSound = true;
     private int eventBytes;
     private int completedEvents;
+    private boolean hasEventEnd;
     private int largestEventBytes;
     private boolean isLastEventComplete;
 
@@ -48,6 +49,7 @@
     /** Takes the next bytes; their position stays. */
     public void scan(ByteBuffer bytes) {
         completedEvents = 0;
+        hasEventEnd = false;
         for (int i = bytes.position(); i < bytes.limit(); i++) {
             byte next = bytes.get(i);
             boolean isSecondHalfOfCrLf = skipLineFeed && next == '\n';
@@ -68,6 +70,11 @@
         return completedEvents;
     }
 
+    /** Whether the latest bytes have ended an event with data, be it a sound one or not. */
+    public boolean hasEventEnd() {
+        return hasEventEnd;
+    }
+
     /** The size of the largest sound event so far, in bytes. */
     public int largestEventBytes() {
         return largestEventBytes;
@@ -170,6 +177,7 @@
     /** An event without data is none. */
     private void endEvent() {
         boolean isLast = isLastEvent();
+        hasEventEnd |= hasData;
         if (hasData && (isLast || json.isComplete()) && !isLastEventComplete) {
             completedEvents++;
             largestEventBytes = Math.max(largestEventBytes, eventBytes);
--- a/node/src/test/java/fawnlb/stream/ProgressDetectorTest.java
+++ b/node/src/test/java/fawnlb/stream/ProgressDetectorTest.java
@@ -44,7 +44,7 @@
     }
 
     private void reportPartialEvent(long nowNanos, int bytes, boolean isSound) {
-        stream.onChunk(nowNanos, 1, new EventProgress(0, 80, bytes, isSound, false));
+        stream.onChunk(nowNanos, 1, new EventProgress(0, false, 80, bytes, isSound, false));
         stream.onClientCaughtUp(nowNanos);
     }
 
@@ -131,11 +131,11 @@
 
     @Test
     public void nothingIsProgressBehindTheLastEvent() {
-        stream.onChunk(startNanos, 1, new EventProgress(1, 80, 0, true, true));
+        stream.onChunk(startNanos, 1, new EventProgress(1, true, 80, 0, true, true));
         stream.onClientCaughtUp(startNanos);
 
         assertEndsInTime(endAfterMillis(100, 30_000, (now, number) -> {
-            stream.onChunk(now, 1, new EventProgress(0, 80, number, true, true));
+            stream.onChunk(now, 1, new EventProgress(0, false, 80, number, true, true));
             stream.onClientCaughtUp(now);
         }));
     }
--- a/node/src/test/java/fawnlb/translation/EventScannerTest.java
+++ b/node/src/test/java/fawnlb/translation/EventScannerTest.java
@@ -80,4 +80,13 @@
 
         assertEquals(2, scanner.completedEvents());
     }
+
+    @Test
+    public void eventWithOtherDataEndsWithoutBeingSound() {
+        EventScanner scanner = scan(Dialect.CHAT, "data: xx\n\n");
+        assertTrue(scanner.hasEventEnd());
+        assertEquals(0, scanner.completedEvents());
+
+        assertFalse(scan(Dialect.CHAT, ": comment\n\n").hasEventEnd());
+    }
 }
