--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -390,6 +390,14 @@
             notifyAll();
         }
 
+        synchronized String member(String id) {
+            return members.get(id);
+        }
+
+        synchronized long revision() {
+            return revision;
+        }
+
         private void accept() {
             while (!closed) {
                 try {
