--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -45,6 +45,8 @@
         scratch = Files.createTempDirectory("review-");
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
         say("run with trouble: " + trouble);
+        // Where the run itself is ended by a signal, its node must not stay.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(NOT_RUN)));
     }
 
     /** Plays the case; returns HELD, BROKEN or NOT_RUN. */
@@ -74,6 +76,7 @@
         end(result);
     }
 
+    /** Ends all that was started, and the process, without its shutdown hooks. */
     private synchronized void end(int result) {
         for (AutoCloseable each : opened) {
             try {
@@ -176,7 +179,7 @@
 
         void signal(String name) throws Exception {
             say("SIG" + name + " to process " + process.pid());
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + ' ' + process.pid()).start().waitFor();
         }
 
         /** Copies the lines of the node's log that match into the record. */
