--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins and the runs of the cases 6 to 10 of the second review with the JDK alone, into target/review-2. The node itself is
-# built by the command of the deploy file, before this.
+# Builds the stand-ins and the runs of the cases 6 to 10 with the JDK alone, into target/review-2. The node itself is built
+# by the command of the deploy file, before this.
 set -e
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
