--- a/lab/src/main/java/fawnlb/lab/discovery/DiscoveryServer.java
+++ b/lab/src/main/java/fawnlb/lab/discovery/DiscoveryServer.java
@@ -124,9 +124,9 @@
     private void recordNotification(String node, List<DiscoveredEndpoint> changed) {
         for (DiscoveredEndpoint endpoint : changed) {
             if (endpoint.phase() == EndpointPhase.READY) {
-                rules.onReadyNotified(node, endpoint.id());
+                rules.onReadyNotified(node, endpoint.id().name());
             } else {
-                rules.onDrainNotified(timers.now(), node, endpoint.id());
+                rules.onDrainNotified(timers.now(), node, endpoint.id().name());
             }
         }
     }
--- a/lab/src/main/java/fawnlb/lab/discovery/EndpointHistory.java
+++ b/lab/src/main/java/fawnlb/lab/discovery/EndpointHistory.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.discovery.EndpointListCodec;
@@ -22,7 +23,7 @@
 
     private static final JsonFactory JSON = new JsonFactory();
 
-    private final Map<String, DiscoveredEndpoint> endpoints = new LinkedHashMap<>();
+    private final Map<EndpointId, DiscoveredEndpoint> endpoints = new LinkedHashMap<>();
     private final TreeMap<Long, List<DiscoveredEndpoint>> changes = new TreeMap<>();
     private long revision;
 
--- a/lab/src/main/java/fawnlb/lab/testbed/EmulatedEndpoints.java
+++ b/lab/src/main/java/fawnlb/lab/testbed/EmulatedEndpoints.java
@@ -1,5 +1,6 @@
 package fawnlb.lab.testbed;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.lab.engine.EngineProfile;
@@ -42,6 +43,6 @@
     /** Returns the endpoint with this id at a port of the loopback address. */
     public static DiscoveredEndpoint listed(
             String id, int port, String zone, String profileName, EndpointPhase phase, long startedAtMillis) {
-        return new DiscoveredEndpoint(id, HOST, port, zone, profileName, 0, phase, 1, startedAtMillis);
+        return new DiscoveredEndpoint(EndpointId.of(id), HOST, port, zone, profileName, 0, phase, 1, startedAtMillis);
     }
 }
--- a/lab/src/test/java/fawnlb/lab/discovery/DiscoveryServerTest.java
+++ b/lab/src/test/java/fawnlb/lab/discovery/DiscoveryServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.discovery.DiscoveredEndpoint;
@@ -27,7 +28,7 @@
     private final BlockingQueue<String> notifications = new LinkedBlockingQueue<>();
 
     private static DiscoveredEndpoint endpoint(String id, int port, EndpointPhase phase) {
-        return new DiscoveredEndpoint(id, "127.0.0.1", port, "z", "k", 0, phase, 1, 0);
+        return new DiscoveredEndpoint(EndpointId.of(id), "127.0.0.1", port, "z", "k", 0, phase, 1, 0);
     }
 
     private DiscoveryServer startServer() throws Exception {
--- a/node/src/main/java/fawnlb/admin/AdminHandler.java
+++ b/node/src/main/java/fawnlb/admin/AdminHandler.java
@@ -1,6 +1,7 @@
 package fawnlb.admin;
 
 import fawnlb.client.FixedResponse;
+import fawnlb.decision.EndpointId;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
 import fawnlb.metrics.Metrics;
@@ -10,7 +11,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
-import java.util.function.LongFunction;
+import java.util.function.Function;
 import java.util.logging.Logger;
 
 /** The admin listener's API: the streams of each backend, and the metrics. It only reads. */
@@ -25,14 +26,14 @@
     private static final Logger LOG = Logger.getLogger(AdminHandler.class.getName());
 
     private final StreamRegistry streams;
-    private final LongFunction<String> backendAddresses;
+    private final Function<EndpointId, String> backendAddresses;
 
     /**
      * Creates a handler.
      *
      * @param backendAddresses returns the address of a backend, given its id
      */
-    public AdminHandler(StreamRegistry streams, LongFunction<String> backendAddresses) {
+    public AdminHandler(StreamRegistry streams, Function<EndpointId, String> backendAddresses) {
         this.streams = streams;
         this.backendAddresses = backendAddresses;
     }
--- a/node/src/main/java/fawnlb/admin/StreamStatisticsFormatter.java
+++ b/node/src/main/java/fawnlb/admin/StreamStatisticsFormatter.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import fawnlb.decision.EndpointId;
 import fawnlb.stream.StreamState;
 import fawnlb.stream.StreamStatistics;
 import java.io.IOException;
@@ -9,13 +10,15 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongFunction;
+import java.util.function.Function;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /** Formats the statistics of all backends' streams, as a table for people and as JSON for tools. */
 final class StreamStatisticsFormatter {
     private static final String ROW_FORMAT = "%-16s %-22s %5s %9s %9s  %-34s %s%n";
     private static final String NONE = "-";
+    private static final Pattern CONTROL_CHARACTER = Pattern.compile("\\p{Cntrl}");
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final JsonFactory JSON_FACTORY = new JsonFactory();
 
@@ -26,13 +29,13 @@
      *
      * @param backendAddresses returns the address of a backend, given its id
      */
-    static String toText(List<StreamStatistics> statistics, LongFunction<String> backendAddresses) {
+    static String toText(List<StreamStatistics> statistics, Function<EndpointId, String> backendAddresses) {
         StringBuilder out = new StringBuilder(String.format(
                 ROW_FORMAT, "target", "address", "open", "held", "cut after", "open, by state", "ended, by how"));
         for (StreamStatistics backend : statistics) {
             out.append(String.format(
                     ROW_FORMAT,
-                    formatTargetId(backend),
+                    printableId(backend),
                     backendAddresses.apply(backend.backend()),
                     backend.openStreams(),
                     backend.bufferedBytes() + " B",
@@ -48,7 +51,7 @@
      *
      * @param backendAddresses returns the address of a backend, given its id
      */
-    static String toJson(List<StreamStatistics> statistics, LongFunction<String> backendAddresses) {
+    static String toJson(List<StreamStatistics> statistics, Function<EndpointId, String> backendAddresses) {
         StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON_FACTORY.createGenerator(text)) {
             json.writeStartArray();
@@ -64,7 +67,7 @@
 
     private static void writeBackend(JsonGenerator json, StreamStatistics backend, String address) throws IOException {
         json.writeStartObject();
-        json.writeStringField("target", formatTargetId(backend));
+        json.writeStringField("target", backend.backend().name());
         json.writeStringField("address", address);
         json.writeNumberField("open", backend.openStreams());
         json.writeNumberField("held_bytes", backend.bufferedBytes());
@@ -82,8 +85,9 @@
         json.writeEndObject();
     }
 
-    private static String formatTargetId(StreamStatistics backend) {
-        return String.format("%08x", backend.backend());
+    /** The id is text from outside, and must not look like a row of the table. */
+    private static String printableId(StreamStatistics backend) {
+        return CONTROL_CHARACTER.matcher(backend.backend().name()).replaceAll("?");
     }
 
     private static String formatStates(StreamStatistics backend) {
--- a/node/src/main/java/fawnlb/backend/BackendIdentity.java
+++ b/node/src/main/java/fawnlb/backend/BackendIdentity.java
@@ -1,5 +1,6 @@
 package fawnlb.backend;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.translation.Dialect;
 import java.net.InetSocketAddress;
 
@@ -10,7 +11,7 @@
  * @param id the endpoint's id in the endpoint list
  * @param startedAtNanos when the endpoint started, in nanoseconds on the instance's clock
  */
-record BackendIdentity(long id, InetSocketAddress address, long startedAtNanos, Dialect dialect) {
+record BackendIdentity(EndpointId id, InetSocketAddress address, long startedAtNanos, Dialect dialect) {
     /** The value of the Host header, and what operators are shown. */
     String hostAndPort() {
         return address.getHostString() + ':' + address.getPort();
--- a/node/src/main/java/fawnlb/backend/BackendPool.java
+++ b/node/src/main/java/fawnlb/backend/BackendPool.java
@@ -1,6 +1,7 @@
 package fawnlb.backend;
 
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Mailbox;
@@ -35,7 +36,7 @@
     private final Timers timers;
     private final Limits limits;
     private final CutStreamLog cutStreamLog;
-    private final Map<Long, Backend> backends = new HashMap<>();
+    private final Map<EndpointId, Backend> backends = new HashMap<>();
     private final StreamRegistry streams;
     private int openSockets;
 
@@ -75,7 +76,7 @@
      * @param startedAtNanos when the endpoint started, in nanoseconds on the instance's clock
      */
     public void updateBackend(
-            long id, InetSocketAddress address, long startedAtNanos, EndpointPhase phase, Dialect dialect) {
+            EndpointId id, InetSocketAddress address, long startedAtNanos, EndpointPhase phase, Dialect dialect) {
         Backend former = backends.get(id);
         if (phase == EndpointPhase.GONE) {
             if (former != null) {
@@ -95,7 +96,7 @@
     }
 
     /** Removes all backends whose ids are not given: a complete endpoint list leaves out those that are gone. */
-    public void retainOnly(Set<Long> listed) {
+    public void retainOnly(Set<EndpointId> listed) {
         backends.entrySet().removeIf(entry -> {
             boolean isRemoved = !listed.contains(entry.getKey());
             if (isRemoved) {
@@ -106,7 +107,7 @@
     }
 
     /** Returns whether there is a backend of this id. */
-    public boolean contains(long id) {
+    public boolean contains(EndpointId id) {
         return backends.containsKey(id);
     }
 
@@ -117,7 +118,7 @@
 
     @Override
     public Attempt startAttempt(
-            long id,
+            EndpointId id,
             IncomingRequest request,
             long responseDeadlineNanos,
             long sendDeadlineNanos,
@@ -143,13 +144,13 @@
     }
 
     /** Returns the host and port of a backend, {@code -} if there is none of that id. */
-    public String describeAddress(long id) {
+    public String describeAddress(EndpointId id) {
         Backend backend = backends.get(id);
         return backend == null ? "-" : backend.identity().hostAndPort();
     }
 
     @Override
-    public void checkHealth(long id, HealthCheckListener listener) {
+    public void checkHealth(EndpointId id, HealthCheckListener listener) {
         Backend backend = backends.get(id);
         if (backend == null) {
             listener.onHealthChecked(AttemptOutcome.NEVER_SENT, List.of());
--- a/node/src/main/java/fawnlb/cli/SnapshotPrinter.java
+++ b/node/src/main/java/fawnlb/cli/SnapshotPrinter.java
@@ -35,7 +35,7 @@
         DiscoveredEndpoint endpoint = entry.endpoint();
         out.printf(
                 ROW_FORMAT,
-                endpoint.id(),
+                endpoint.id().name(),
                 endpoint.host() + ':' + endpoint.port(),
                 endpoint.zone(),
                 endpoint.kind(),
--- a/node/src/main/java/fawnlb/decision/Endpoint.java
+++ b/node/src/main/java/fawnlb/decision/Endpoint.java
@@ -15,14 +15,14 @@
  *     {@link #UNLIMITED_CAPACITY}
  */
 public record Endpoint(
-        long id, EndpointPhase phase, long startedAt, double size, int zone, int cell, int kind, int capacity) {
+        EndpointId id, EndpointPhase phase, long startedAt, double size, int zone, int cell, int kind, int capacity) {
     /** The zone, cell or kind of an endpoint of which it is not known. */
     public static final int UNKNOWN = -1;
     /** The capacity of an endpoint that nothing limits. */
     public static final int UNLIMITED_CAPACITY = Integer.MAX_VALUE;
 
     /** An endpoint without a limit of its capacity, as discovery lists it. */
-    public Endpoint(long id, EndpointPhase phase, long startedAt, double size, int zone, int cell, int kind) {
+    public Endpoint(EndpointId id, EndpointPhase phase, long startedAt, double size, int zone, int cell, int kind) {
         this(id, phase, startedAt, size, zone, cell, kind, UNLIMITED_CAPACITY);
     }
 
--- a/node/src/main/java/fawnlb/decision/LoadBalancerAction.java
+++ b/node/src/main/java/fawnlb/decision/LoadBalancerAction.java
@@ -14,7 +14,7 @@
      *
      * @param deadline when to give the attempt up if no response has started
      */
-    record StartAttempt(long requestId, long endpointId, long deadline) implements LoadBalancerAction {}
+    record StartAttempt(long requestId, EndpointId endpointId, long deadline) implements LoadBalancerAction {}
 
     /** Give up an attempt whose response has not started. */
     record CancelAttempt(long requestId, int attempt) implements LoadBalancerAction {}
@@ -39,7 +39,7 @@
     record FetchEndpoints() implements LoadBalancerAction {}
 
     /** Check the health of an endpoint and report it by {@link HealthChecked}. */
-    record CheckHealth(long endpointId) implements LoadBalancerAction {}
+    record CheckHealth(EndpointId endpointId) implements LoadBalancerAction {}
 
     /** Write a line to the log. */
     record Log(String text) implements LoadBalancerAction {}
--- a/node/src/main/java/fawnlb/decision/LoadBalancerEvent.java
+++ b/node/src/main/java/fawnlb/decision/LoadBalancerEvent.java
@@ -51,7 +51,7 @@
      *
      * @param elapsedNanos from the start of the attempt to its first token
      */
-    record ResponseStarted(long requestId, int attempt, long endpointId, long elapsedNanos)
+    record ResponseStarted(long requestId, int attempt, EndpointId endpointId, long elapsedNanos)
             implements LoadBalancerEvent {}
 
     /**
@@ -65,7 +65,7 @@
     record AttemptEnded(
             long requestId,
             int attempt,
-            long endpointId,
+            EndpointId endpointId,
             AttemptOutcome outcome,
             boolean requestFinished,
             long elapsedNanos,
@@ -81,7 +81,7 @@
      *
      * @param loadReport as in {@link AttemptEnded}
      */
-    record HealthChecked(long endpointId, AttemptOutcome outcome, long elapsedNanos, List<Double> loadReport)
+    record HealthChecked(EndpointId endpointId, AttemptOutcome outcome, long elapsedNanos, List<Double> loadReport)
             implements LoadBalancerEvent {}
 
     /** Another instance has sent a message. */
--- a/node/src/main/java/fawnlb/discovery/AddressOwners.java
+++ b/node/src/main/java/fawnlb/discovery/AddressOwners.java
@@ -1,5 +1,6 @@
 package fawnlb.discovery;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.eventloop.EventLoopOnly;
 import java.util.HashMap;
@@ -15,7 +16,7 @@
 @EventLoopOnly
 public final class AddressOwners {
     private final Map<String, DiscoveredEndpoint> ownersByAddress = new HashMap<>();
-    private final Map<String, String> addressesById = new HashMap<>();
+    private final Map<EndpointId, String> addressesById = new HashMap<>();
 
     /**
      * Returns a list in which the endpoints that have lost their address are gone; a complete list leaves them out.
@@ -27,7 +28,7 @@
             ownersByAddress.clear();
             addressesById.clear();
         }
-        Map<String, DiscoveredEndpoint> resolved = new LinkedHashMap<>();
+        Map<EndpointId, DiscoveredEndpoint> resolved = new LinkedHashMap<>();
         list.endpoints().forEach(endpoint -> take(endpoint, resolved));
         List<DiscoveredEndpoint> endpoints = resolved.values().stream()
                 .filter(endpoint -> !list.complete() || endpoint.phase() != EndpointPhase.GONE)
@@ -36,7 +37,7 @@
     }
 
     /** Takes an entry over into what is resolved, and marks the endpoint that has lost its address by it. */
-    private void take(DiscoveredEndpoint endpoint, Map<String, DiscoveredEndpoint> resolved) {
+    private void take(DiscoveredEndpoint endpoint, Map<EndpointId, DiscoveredEndpoint> resolved) {
         release(endpoint.id());
         DiscoveredEndpoint owner =
                 endpoint.phase() == EndpointPhase.GONE ? null : ownersByAddress.get(addressOf(endpoint));
@@ -56,7 +57,7 @@
     }
 
     /** The endpoint has no address any more, unless it is listed with one again. */
-    private void release(String id) {
+    private void release(EndpointId id) {
         String address = addressesById.remove(id);
         if (address != null && ownersByAddress.get(address).id().equals(id)) {
             ownersByAddress.remove(address);
--- a/node/src/main/java/fawnlb/discovery/EndpointListCodec.java
+++ b/node/src/main/java/fawnlb/discovery/EndpointListCodec.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.EndpointListFormatException.Reason;
 import java.io.IOException;
@@ -93,7 +94,7 @@
     /** Writes an endpoint as one object. */
     public static void writeEndpoint(DiscoveredEndpoint endpoint, JsonGenerator generator) throws IOException {
         generator.writeStartObject();
-        generator.writeStringField("id", endpoint.id());
+        generator.writeStringField("id", endpoint.id().name());
         generator.writeStringField("host_port", endpoint.host() + ':' + endpoint.port());
         generator.writeStringField("locality", endpoint.zone());
         generator.writeStringField("flavor", endpoint.kind());
@@ -158,7 +159,7 @@
                 throw invalid("has no numeric address and port in '" + truncate(address) + "'");
             }
             String host = isNumeric ? address.substring(0, colon) : "";
-            return new DiscoveredEndpoint(id, host, port, zone, kind, cell, phase, size, upSinceMillis);
+            return new DiscoveredEndpoint(EndpointId.of(id), host, port, zone, kind, cell, phase, size, upSinceMillis);
         }
 
         private EndpointListFormatException invalid(String fault) {
--- a/node/src/main/java/fawnlb/discovery/EndpointStartTimes.java
+++ b/node/src/main/java/fawnlb/discovery/EndpointStartTimes.java
@@ -1,5 +1,6 @@
 package fawnlb.discovery;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.eventloop.EventLoopOnly;
 import java.util.LinkedHashMap;
@@ -32,11 +33,11 @@
 
     private record StartRecord(long upSinceMillis, long startedAt) {}
 
-    private final Map<Long, StartRecord> startsByEndpoint = new LinkedHashMap<>() {
+    private final Map<EndpointId, StartRecord> startsByEndpoint = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, StartRecord> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<EndpointId, StartRecord> eldest) {
             return size() > MAX_TRACKED_ENDPOINTS;
         }
     };
@@ -68,7 +69,7 @@
     }
 
     private void recordStart(DiscoveredEndpoint endpoint, long now) {
-        long id = endpoint.numericId();
+        EndpointId id = endpoint.id();
         StartRecord recorded = startsByEndpoint.get(id);
         if (recorded == null || recorded.upSinceMillis() < endpoint.upSinceMillis()) {
             long startedAt = boundStartTime(endpoint.upSinceMillis() * NANOS_PER_MILLISECOND, now);
@@ -101,7 +102,7 @@
 
     /** When the endpoint started; 0 if long ago. */
     public long startedAt(DiscoveredEndpoint endpoint) {
-        StartRecord start = startsByEndpoint.get(endpoint.numericId());
+        StartRecord start = startsByEndpoint.get(endpoint.id());
         return endpoint.upSinceMillis() <= 0 || start == null ? 0 : start.startedAt();
     }
 }
--- a/node/src/main/java/fawnlb/metrics/LogLine.java
+++ b/node/src/main/java/fawnlb/metrics/LogLine.java
@@ -53,14 +53,9 @@
         return with(REQUEST_ID, id);
     }
 
-    /** Adds a backend by its address; {@code null} adds nothing. */
-    public LogLine backend(String address) {
-        return with(BACKEND, address);
-    }
-
-    /** Adds a backend by its id. */
-    public LogLine backend(long id) {
-        return with(BACKEND, id);
+    /** Adds a backend by its address, or its id; {@code null} adds nothing. */
+    public LogLine backend(String addressOrId) {
+        return with(BACKEND, addressOrId);
     }
 
     /** Adds the number of an attempt, from 0. */
--- a/node/src/main/java/fawnlb/policy/EndpointState.java
+++ b/node/src/main/java/fawnlb/policy/EndpointState.java
@@ -1,6 +1,7 @@
 package fawnlb.policy;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 
 /**
@@ -9,7 +10,7 @@
  * over all ready endpoints is taken for each request.
  */
 final class EndpointState {
-    final long id;
+    final EndpointId id;
 
     // As listed; written by EndpointTable.
     EndpointPhase phase = EndpointPhase.GONE;
@@ -50,7 +51,7 @@
     /** What is known of all endpoints of this kind; set before the endpoint becomes ready. */
     StreamPaceTracker.KindPace kindPace;
 
-    EndpointState(long id) {
+    EndpointState(EndpointId id) {
         this.id = id;
     }
 
--- a/node/src/main/java/fawnlb/policy/EndpointTable.java
+++ b/node/src/main/java/fawnlb/policy/EndpointTable.java
@@ -1,6 +1,7 @@
 package fawnlb.policy;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent.EndpointsUpdated;
@@ -24,7 +25,7 @@
     }
 
     private final int localZone;
-    private final Map<Long, EndpointState> byId = new HashMap<>();
+    private final Map<EndpointId, EndpointState> byId = new HashMap<>();
     private final HashRing<EndpointState> ring = new HashRing<>();
     private final List<EndpointState> ready = new ArrayList<>();
     /** Room for one figure of each ready endpoint, kept so that no request allocates it. */
@@ -60,7 +61,7 @@
         }
         anyGone |= isComplete(update.kind()) && markUnlistedAsGone(pass);
         if (!joined.isEmpty()) {
-            ring.add(joined, endpoint -> endpoint.id);
+            ring.add(joined, endpoint -> endpoint.id.ringSeed());
         }
         if (anyGone) {
             removeGone();
--- a/node/src/main/java/fawnlb/policy/StreamPaceTracker.java
+++ b/node/src/main/java/fawnlb/policy/StreamPaceTracker.java
@@ -124,7 +124,7 @@
      * endpoints would keep all of its keys.
      */
     boolean keepsKey(EndpointState endpoint, long key, double fastestKind) {
-        double draw = SplitMix64.toUnitInterval(key ^ SplitMix64.mix(endpoint.id));
+        double draw = SplitMix64.toUnitInterval(key ^ SplitMix64.mix(endpoint.id.ringSeed()));
         return draw < fastestKind / slowdownOf(endpoint);
     }
 }
--- a/node/src/main/java/fawnlb/proxy/ActiveAttempt.java
+++ b/node/src/main/java/fawnlb/proxy/ActiveAttempt.java
@@ -1,5 +1,6 @@
 package fawnlb.proxy;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
 import fawnlb.metrics.LogLine;
@@ -23,13 +24,13 @@
     }
 
     private final int number;
-    private final long endpointId;
+    private final EndpointId endpointId;
     private final long startedAt;
     private Phase phase = Phase.AWAITING_RESPONSE;
     private Backends.Attempt handle;
     private Timers.Timer responseTimer;
 
-    ActiveAttempt(int number, long endpointId, long startedAt) {
+    ActiveAttempt(int number, EndpointId endpointId, long startedAt) {
         this.number = number;
         this.endpointId = endpointId;
         this.startedAt = startedAt;
@@ -41,7 +42,7 @@
     }
 
     /** The endpoint that the attempt was sent to. */
-    long endpointId() {
+    EndpointId endpointId() {
         return endpointId;
     }
 
@@ -103,6 +104,6 @@
 
     /** Begins a log line about this attempt of the request. */
     LogLine logLine(String event, ProxiedRequest request) {
-        return request.logLine(event).backend(endpointId).attempt(number);
+        return request.logLine(event).backend(endpointId.name()).attempt(number);
     }
 }
--- a/node/src/main/java/fawnlb/proxy/Backends.java
+++ b/node/src/main/java/fawnlb/proxy/Backends.java
@@ -1,6 +1,7 @@
 package fawnlb.proxy;
 
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.EndpointId;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
 import fawnlb.stream.AttemptEnd;
@@ -27,7 +28,7 @@
      *     something
      */
     Attempt startAttempt(
-            long backend,
+            EndpointId backend,
             IncomingRequest request,
             long responseDeadline,
             long sendDeadline,
@@ -35,7 +36,7 @@
             AttemptListener listener);
 
     /** Checks a backend's health. The listener hears of the result once. */
-    void checkHealth(long backend, HealthCheckListener listener);
+    void checkHealth(EndpointId backend, HealthCheckListener listener);
 
     /** An attempt that was started. */
     interface Attempt {
--- a/node/src/main/java/fawnlb/proxy/BackgroundActions.java
+++ b/node/src/main/java/fawnlb/proxy/BackgroundActions.java
@@ -1,6 +1,7 @@
 package fawnlb.proxy;
 
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.LoadBalancerAction;
 import fawnlb.decision.LoadBalancerEvent;
 import fawnlb.eventloop.EventLoopOnly;
@@ -43,7 +44,7 @@
     }
 
     void checkHealth(LoadBalancerAction.CheckHealth action) {
-        long endpointId = action.endpointId();
+        EndpointId endpointId = action.endpointId();
         long startedAt = timers.now();
         backends.checkHealth(
                 endpointId,
@@ -51,7 +52,8 @@
                         .tellAlways(() -> onHealthChecked(endpointId, startedAt, outcome, loadReport)));
     }
 
-    private void onHealthChecked(long endpointId, long startedAt, AttemptOutcome outcome, List<Double> loadReport) {
+    private void onHealthChecked(
+            EndpointId endpointId, long startedAt, AttemptOutcome outcome, List<Double> loadReport) {
         notifier.report(new LoadBalancerEvent.HealthChecked(endpointId, outcome, timers.now() - startedAt, loadReport));
     }
 }
--- a/node/src/main/java/fawnlb/proxy/ProxiedRequest.java
+++ b/node/src/main/java/fawnlb/proxy/ProxiedRequest.java
@@ -1,5 +1,6 @@
 package fawnlb.proxy;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
 import fawnlb.metrics.LogLine;
@@ -114,7 +115,7 @@
     }
 
     /** Starts the next attempt, at the time {@code now}. */
-    ActiveAttempt startAttempt(long endpointId, long now) {
+    ActiveAttempt startAttempt(EndpointId endpointId, long now) {
         move(RequestEvent.ATTEMPT_STARTED);
         activeAttempt = new ActiveAttempt(attemptCount++, endpointId, now);
         return activeAttempt;
--- a/node/src/main/java/fawnlb/restore/ContactAgeWeights.java
+++ b/node/src/main/java/fawnlb/restore/ContactAgeWeights.java
@@ -1,5 +1,6 @@
 package fawnlb.restore;
 
+import fawnlb.decision.EndpointId;
 import java.util.Map;
 
 /**
@@ -11,7 +12,7 @@
     private static final double UNKNOWN_AGE_WEIGHT = 0.5;
 
     private final long halfLifeNanos;
-    private final Map<Long, Long> lastContactAt;
+    private final Map<EndpointId, Long> lastContactAt;
 
     /**
      * Creates the weights.
@@ -20,7 +21,7 @@
      * @param lastContactAt when each endpoint was last heard of, in nanoseconds on the instance's clock; 0 or absent if
      *     unknown
      */
-    ContactAgeWeights(long halfLifeNanos, Map<Long, Long> lastContactAt) {
+    ContactAgeWeights(long halfLifeNanos, Map<EndpointId, Long> lastContactAt) {
         this.halfLifeNanos = halfLifeNanos;
         this.lastContactAt = Map.copyOf(lastContactAt);
     }
@@ -29,7 +30,7 @@
      * The endpoint's weight, from 0 to 1. A contact that lies in the future comes from a clock that was set, and tells
      * no age.
      */
-    double weight(long now, long endpointId) {
+    double weight(long now, EndpointId endpointId) {
         long contactAt = lastContactAt.getOrDefault(endpointId, 0L);
         return contactAt <= 0 || contactAt > now
                 ? UNKNOWN_AGE_WEIGHT
--- a/node/src/main/java/fawnlb/restore/RestoredEndpointFilter.java
+++ b/node/src/main/java/fawnlb/restore/RestoredEndpointFilter.java
@@ -1,6 +1,7 @@
 package fawnlb.restore;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent;
@@ -40,7 +41,7 @@
     private final Consumer<String> log;
     private final TrialAdmission admission;
     private final EmptyListHold emptyListHold;
-    private final Map<Long, RestoredEndpoint> restoredEndpoints = new LinkedHashMap<>();
+    private final Map<EndpointId, RestoredEndpoint> restoredEndpoints = new LinkedHashMap<>();
     private boolean discoveryAnswered;
 
     /**
@@ -52,7 +53,7 @@
      * @param log takes a line for the log
      */
     public RestoredEndpointFilter(
-            RestoreSettings settings, long seed, Map<Long, Long> lastContactAt, Consumer<String> log) {
+            RestoreSettings settings, long seed, Map<EndpointId, Long> lastContactAt, Consumer<String> log) {
         this.settings = settings;
         this.seed = seed;
         this.weights = new ContactAgeWeights(settings.halfLifeNanos(), lastContactAt);
@@ -102,7 +103,10 @@
 
     private RestoredEndpoint restore(long now, Endpoint endpoint) {
         return new RestoredEndpoint(
-                endpoint, weights.weight(now, endpoint.id()), mixBits(endpoint.id() ^ seed), settings);
+                endpoint,
+                weights.weight(now, endpoint.id()),
+                mixBits(endpoint.id().ringSeed() ^ seed),
+                settings);
     }
 
     private EndpointsUpdated limitRestored(EndpointsUpdated update) {
@@ -151,7 +155,7 @@
 
     /** Adds the restored endpoints that are not named, without their limits. */
     private List<Endpoint> withUnnamedEndpoints(EndpointsUpdated update) {
-        Set<Long> namedIds = update.endpoints().stream().map(Endpoint::id).collect(Collectors.toSet());
+        Set<EndpointId> namedIds = update.endpoints().stream().map(Endpoint::id).collect(Collectors.toSet());
         List<Endpoint> endpoints = new ArrayList<>(update.endpoints());
         restoredEndpoints.values().stream()
                 .map(RestoredEndpoint::endpoint)
@@ -162,7 +166,7 @@
 
     /** The endpoint list that is held was empty: now that there is another endpoint, all that it left out are gone. */
     private List<Endpoint> withoutUnnamedEndpoints(EndpointsUpdated update) {
-        Set<Long> presentIds = update.endpoints().stream()
+        Set<EndpointId> presentIds = update.endpoints().stream()
                 .filter(endpoint -> endpoint.phase() != EndpointPhase.GONE)
                 .map(Endpoint::id)
                 .collect(Collectors.toSet());
@@ -267,7 +271,7 @@
     }
 
     /** The state of an endpoint; null if it was not restored, or discovery has answered. */
-    public RestoredEndpointState stateOf(long endpointId) {
+    public RestoredEndpointState stateOf(EndpointId endpointId) {
         RestoredEndpoint restored = restoredEndpoints.get(endpointId);
         return restored == null ? null : restored.state();
     }
--- a/node/src/main/java/fawnlb/server/EndpointMemory.java
+++ b/node/src/main/java/fawnlb/server/EndpointMemory.java
@@ -1,5 +1,6 @@
 package fawnlb.server;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.discovery.EndpointList;
@@ -11,7 +12,7 @@
 import fawnlb.memory.MemoryUse;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 
 /** Limits the number of endpoints to what there is room for, and reserves what they hold. */
 @EventLoopOnly
@@ -31,11 +32,12 @@
      * @param knownEndpoints how many endpoints there are before the list
      * @throws EndpointListFormatException if there would be too many endpoints after it
      */
-    void checkRoom(EndpointList list, LongPredicate isKnown, int knownEndpoints) throws EndpointListFormatException {
-        Set<Long> listed = new HashSet<>();
-        Set<Long> gone = new HashSet<>();
+    void checkRoom(EndpointList list, Predicate<EndpointId> isKnown, int knownEndpoints)
+            throws EndpointListFormatException {
+        Set<EndpointId> listed = new HashSet<>();
+        Set<EndpointId> gone = new HashSet<>();
         for (DiscoveredEndpoint endpoint : list.endpoints()) {
-            (endpoint.phase() == EndpointPhase.GONE ? gone : listed).add(endpoint.numericId());
+            (endpoint.phase() == EndpointPhase.GONE ? gone : listed).add(endpoint.id());
         }
         long added = listed.stream().filter(id -> !isKnown.test(id)).count();
         long removed = gone.stream().filter(isKnown::test).count();
--- a/node/src/main/java/fawnlb/server/EndpointPublisher.java
+++ b/node/src/main/java/fawnlb/server/EndpointPublisher.java
@@ -109,11 +109,11 @@
     private void updateBackends(EndpointList list) {
         if (list.complete()) {
             backends.retainOnly(
-                    list.endpoints().stream().map(DiscoveredEndpoint::numericId).collect(Collectors.toSet()));
+                    list.endpoints().stream().map(DiscoveredEndpoint::id).collect(Collectors.toSet()));
         }
         for (DiscoveredEndpoint discovered : list.endpoints()) {
             backends.updateBackend(
-                    discovered.numericId(),
+                    discovered.id(),
                     new InetSocketAddress(discovered.host(), discovered.port()),
                     discovered.upSinceMillis(),
                     discovered.phase(),
@@ -133,7 +133,7 @@
 
     private Endpoint toEndpoint(DiscoveredEndpoint discovered) {
         return new Endpoint(
-                discovered.numericId(),
+                discovered.id(),
                 discovered.phase(),
                 startTimes.startedAt(discovered),
                 discovered.size(),
--- a/node/src/main/java/fawnlb/server/RestoredEndpoints.java
+++ b/node/src/main/java/fawnlb/server/RestoredEndpoints.java
@@ -1,6 +1,7 @@
 package fawnlb.server;
 
 import fawnlb.config.StartupConfiguration;
+import fawnlb.decision.EndpointId;
 import fawnlb.discovery.EndpointList;
 import fawnlb.metrics.LogLine;
 import fawnlb.snapshot.Snapshot;
@@ -18,7 +19,7 @@
  * @param lastContactAtNanos when discovery or a backend last confirmed each endpoint, by the endpoint's id, in
  *     nanoseconds since the epoch; endpoints for which that is not known are missing
  */
-record RestoredEndpoints(EndpointList endpointList, Snapshot snapshot, Map<Long, Long> lastContactAtNanos) {
+record RestoredEndpoints(EndpointList endpointList, Snapshot snapshot, Map<EndpointId, Long> lastContactAtNanos) {
     private static final Logger LOG = Logger.getLogger(RestoredEndpoints.class.getName());
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long MILLIS_PER_SECOND = 1000;
@@ -56,9 +57,9 @@
         List<Entry> recent = snapshot.entries().stream()
                 .filter(entry -> found.isFromFuture() || nowNanos - lastContactNanos(entry) <= maxAgeNanos)
                 .toList();
-        Map<Long, Long> lastContactAtNanos = new HashMap<>();
+        Map<EndpointId, Long> lastContactAtNanos = new HashMap<>();
         if (!found.isFromFuture()) {
-            recent.forEach(entry -> lastContactAtNanos.put(entry.endpoint().numericId(), lastContactNanos(entry)));
+            recent.forEach(entry -> lastContactAtNanos.put(entry.endpoint().id(), lastContactNanos(entry)));
         }
         logRestored(found, recent.size(), nowNanos);
         return new RestoredEndpoints(
--- a/node/src/main/java/fawnlb/simulator/ActionWriter.java
+++ b/node/src/main/java/fawnlb/simulator/ActionWriter.java
@@ -1,5 +1,6 @@
 package fawnlb.simulator;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.LoadBalancerAction;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -30,8 +31,7 @@
     /** Adds an action to the batch. */
     void writeAction(int instance, LoadBalancerAction action) {
         if (action instanceof LoadBalancerAction.StartAttempt start) {
-            beginRecord(RecordCodes.START_ATTEMPT, instance, Long.BYTES + Integer.BYTES + Long.BYTES);
-            buffer.putLong(start.requestId()).putInt((int) start.endpointId()).putLong(start.deadline());
+            writeStartAttempt(instance, start);
         } else if (action instanceof LoadBalancerAction.CancelAttempt cancel) {
             beginRecord(RecordCodes.CANCEL_ATTEMPT, instance, Long.BYTES + Byte.BYTES);
             buffer.putLong(cancel.requestId()).put((byte) cancel.attempt());
@@ -51,7 +51,7 @@
             beginRecord(RecordCodes.FETCH_ENDPOINTS, instance, 0);
         } else if (action instanceof LoadBalancerAction.CheckHealth check) {
             beginRecord(RecordCodes.CHECK_HEALTH, instance, Integer.BYTES);
-            buffer.putInt((int) check.endpointId());
+            buffer.putInt(numberOf(check.endpointId()));
         } else if (action instanceof LoadBalancerAction.Log log) {
             writeText(RecordCodes.LOG, instance, log.text());
         } else {
@@ -59,6 +59,18 @@
         }
     }
 
+    private void writeStartAttempt(int instance, LoadBalancerAction.StartAttempt start) {
+        beginRecord(RecordCodes.START_ATTEMPT, instance, Long.BYTES + Integer.BYTES + Long.BYTES);
+        buffer.putLong(start.requestId());
+        buffer.putInt(numberOf(start.endpointId()));
+        buffer.putLong(start.deadline());
+    }
+
+    /** The unsigned number by which the format names an endpoint. */
+    private static int numberOf(EndpointId id) {
+        return (int) id.ringSeed();
+    }
+
     /** Adds to the batch that the load balancer of an instance has failed. */
     void writeFault(int instance, String description) {
         writeText(RecordCodes.LOAD_BALANCER_FAULT, instance, description);
--- a/node/src/main/java/fawnlb/simulator/EventDecoder.java
+++ b/node/src/main/java/fawnlb/simulator/EventDecoder.java
@@ -2,6 +2,7 @@
 
 import fawnlb.decision.AttemptOutcome;
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent;
@@ -55,12 +56,16 @@
         double size = reader.readFloat();
         EndpointPhase phase = toEndpointPhase(reader.readUnsignedByte());
         int cell = reader.readUnsignedShort();
-        long id = reader.readUnsignedInt();
+        EndpointId id = readEndpointId();
         int zone = reader.readUnsignedByte();
         int kind = reader.readUnsignedShort();
         return new Endpoint(id, phase, readyAtNanos, size, zone, cell, kind);
     }
 
+    private EndpointId readEndpointId() throws MalformedBatchException {
+        return EndpointId.ofNumber(reader.readUnsignedInt());
+    }
+
     private static EndpointPhase toEndpointPhase(int code) {
         return switch (code) {
             case 1 -> EndpointPhase.READY;
@@ -137,7 +142,7 @@
     private LoadBalancerEvent readResponseStarted() throws MalformedBatchException {
         long requestId = reader.readLong();
         int attempt = reader.readUnsignedByte();
-        long endpointId = reader.readUnsignedInt();
+        EndpointId endpointId = readEndpointId();
         long elapsedNanos = reader.readLong();
         return new LoadBalancerEvent.ResponseStarted(requestId, attempt, endpointId, elapsedNanos);
     }
@@ -147,7 +152,7 @@
         long elapsedNanos = reader.readLong();
         int attempt = reader.readUnsignedByte();
         AttemptOutcome outcome = toAttemptOutcome(reader.readUnsignedByte());
-        long endpointId = reader.readUnsignedInt();
+        EndpointId endpointId = readEndpointId();
         boolean isRequestOver = reader.readUnsignedByte() != 0;
         long cachedTokens = reader.readUnsignedInt();
         List<Double> loadReport = readLoadReport();
@@ -156,7 +161,7 @@
     }
 
     private LoadBalancerEvent readHealthChecked() throws MalformedBatchException {
-        long endpointId = reader.readUnsignedInt();
+        EndpointId endpointId = readEndpointId();
         AttemptOutcome outcome = toAttemptOutcome(reader.readUnsignedByte());
         long elapsedNanos = reader.readLong();
         return new LoadBalancerEvent.HealthChecked(endpointId, outcome, elapsedNanos, readLoadReport());
--- a/node/src/main/java/fawnlb/snapshot/SnapshotRecorder.java
+++ b/node/src/main/java/fawnlb/snapshot/SnapshotRecorder.java
@@ -1,5 +1,6 @@
 package fawnlb.snapshot;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent;
@@ -30,7 +31,7 @@
     private final Timers timers;
     private final WriteIntervals intervals;
     private final SnapshotWriter writer;
-    private final Map<Long, Entry> entries = new HashMap<>();
+    private final Map<EndpointId, Entry> entries = new HashMap<>();
     private long revision;
 
     /**
@@ -54,7 +55,7 @@
     public void restore(Snapshot snapshot) {
         mailbox.tell(() -> {
             revision = snapshot.revision();
-            snapshot.entries().forEach(entry -> entries.put(entry.endpoint().numericId(), entry));
+            snapshot.entries().forEach(entry -> entries.put(entry.endpoint().id(), entry));
         });
     }
 
@@ -75,13 +76,13 @@
     private void merge(EndpointList list) {
         long now = timers.now();
         revision = list.revision();
-        Set<Long> namedIds = new HashSet<>();
+        Set<EndpointId> namedIds = new HashSet<>();
         boolean changed = false;
         for (DiscoveredEndpoint endpoint : list.endpoints()) {
             if (endpoint.phase() == EndpointPhase.GONE) {
-                changed |= entries.remove(endpoint.numericId()) != null;
+                changed |= entries.remove(endpoint.id()) != null;
             } else {
-                namedIds.add(endpoint.numericId());
+                namedIds.add(endpoint.id());
                 changed |= mergeEndpoint(now, endpoint);
             }
         }
@@ -95,10 +96,10 @@
 
     /** Whether the endpoint is new, or differs from what was held. One that has restarted has not responded yet. */
     private boolean mergeEndpoint(long now, DiscoveredEndpoint endpoint) {
-        Entry previous = entries.get(endpoint.numericId());
+        Entry previous = entries.get(endpoint.id());
         boolean sameStart = previous != null && previous.endpoint().upSinceMillis() == endpoint.upSinceMillis();
         long lastResponseAtMillis = sameStart ? previous.lastResponseAtMillis() : 0;
-        entries.put(endpoint.numericId(), new Entry(endpoint, now / NANOS_PER_MILLISECOND, lastResponseAtMillis));
+        entries.put(endpoint.id(), new Entry(endpoint, now / NANOS_PER_MILLISECOND, lastResponseAtMillis));
         return previous == null || !previous.endpoint().equals(endpoint);
     }
 
@@ -121,7 +122,7 @@
         return null;
     }
 
-    private void onResponse(long now, long endpointId) {
+    private void onResponse(long now, EndpointId endpointId) {
         Entry entry = entries.get(endpointId);
         if (entry != null) {
             entries.put(
--- a/node/src/main/java/fawnlb/stream/BackendStreams.java
+++ b/node/src/main/java/fawnlb/stream/BackendStreams.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import fawnlb.decision.EndpointId;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -59,7 +60,7 @@
         return openStreams;
     }
 
-    StreamStatistics statistics(long backendId, long allowedGapNanos) {
+    StreamStatistics statistics(EndpointId backendId, long allowedGapNanos) {
         Map<StreamState, Integer> occupiedStates = new EnumMap<>(streamsByState);
         occupiedStates.values().removeIf(count -> count == 0);
         return new StreamStatistics(
--- a/node/src/main/java/fawnlb/stream/LatencyBaseline.java
+++ b/node/src/main/java/fawnlb/stream/LatencyBaseline.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import fawnlb.decision.EndpointId;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -23,7 +24,7 @@
     /** The step of the median, on the logarithm: it follows a change by a factor of two within some ten values. */
     private static final double MEDIAN_STEP = 0.1;
 
-    private final Map<Long, LatencyEstimators> estimatorsByBackend = new HashMap<>();
+    private final Map<EndpointId, LatencyEstimators> estimatorsByBackend = new HashMap<>();
     private final ExcessDistribution gapExcess = new ExcessDistribution();
     private final ExcessDistribution waitExcess = new ExcessDistribution();
     /** All backends as if they were one; the tail has a shape of its own, since it contains their differences. */
@@ -44,18 +45,18 @@
         }
     }
 
-    private LatencyEstimators estimatorsOf(long backend) {
+    private LatencyEstimators estimatorsOf(EndpointId backend) {
         return estimatorsByBackend.computeIfAbsent(backend, key -> new LatencyEstimators(gapExcess, waitExcess));
     }
 
     /** Learns the time between two events, or between two chunks of them. */
-    void recordGap(long backend, long nanos) {
+    void recordGap(EndpointId backend, long nanos) {
         estimatorsOf(backend).gaps.add(nanos);
         fleetEstimators.gaps.add(nanos);
     }
 
     /** Learns the time from the start of an attempt to its first event. */
-    void recordWait(long backend, double promptTokens, long nanos) {
+    void recordWait(EndpointId backend, double promptTokens, long nanos) {
         int bucket = promptLengthBucket(promptTokens);
         double logWait = Math.log(Math.max(1, nanos));
         medianLogWaits[bucket] = medianLogWaits[bucket] == 0
@@ -70,7 +71,7 @@
      * Learns a wait that was ended after this time, as a lower bound. If such waits were left out, the usual wait would
      * shrink with every one of them.
      */
-    void recordAbandonedWait(long backend, double promptTokens, long nanos) {
+    void recordAbandonedWait(EndpointId backend, double promptTokens, long nanos) {
         int bucket = promptLengthBucket(promptTokens);
         if (medianLogWaits[bucket] != 0) {
             double ratio = nanos / Math.exp(medianLogWaits[bucket]);
@@ -87,7 +88,7 @@
      * Returns the gap that is exceeded with probability {@code 10^-phi}, {@link Long#MAX_VALUE} while that is not
      * known.
      */
-    long gapNanos(long backend, double phi) {
+    long gapNanos(EndpointId backend, double phi) {
         LatencyEstimators estimators = estimatorsByBackend.get(backend);
         return (long) backendOrFleetQuantile(estimators == null ? null : estimators.gaps, fleetEstimators.gaps, phi);
     }
@@ -96,7 +97,7 @@
      * Returns the wait for the first event that is exceeded with probability {@code 10^-phi}, {@link Long#MAX_VALUE}
      * while that is not known for prompts of this length.
      */
-    long waitNanos(long backend, double promptTokens, double phi) {
+    long waitNanos(EndpointId backend, double promptTokens, double phi) {
         LatencyEstimators estimators = estimatorsByBackend.get(backend);
         long medianNanos = medianWaitNanos(promptTokens);
         if (medianNanos == 0) {
@@ -128,7 +129,7 @@
     }
 
     /** Drops the values of a backend; those of the fleet stay. */
-    void forget(long backend) {
+    void forget(EndpointId backend) {
         estimatorsByBackend.remove(backend);
     }
 }
--- a/node/src/main/java/fawnlb/stream/ResponseStream.java
+++ b/node/src/main/java/fawnlb/stream/ResponseStream.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.memory.MemoryReservation;
 
 /**
@@ -18,7 +19,7 @@
     private static final long CLIENT_IDLE_NANOS = 1_000_000_000;
 
     private final StreamRegistry registry;
-    private final long backendId;
+    private final EndpointId backendId;
     private final StreamRegistry.Owner owner;
     private final SilenceDetector silence;
     private final ProgressDetector eventProgress;
@@ -49,7 +50,7 @@
         this.isEventStream = parameters.isEventStream();
     }
 
-    long backendId() {
+    EndpointId backendId() {
         return backendId;
     }
 
--- a/node/src/main/java/fawnlb/stream/StreamParameters.java
+++ b/node/src/main/java/fawnlb/stream/StreamParameters.java
@@ -1,5 +1,7 @@
 package fawnlb.stream;
 
+import fawnlb.decision.EndpointId;
+
 /**
  * What is known of an attempt's stream when the attempt begins.
  *
@@ -11,7 +13,7 @@
  *     and silences before that say nothing
  */
 public record StreamParameters(
-        long backendId,
+        EndpointId backendId,
         double promptTokens,
         long responseDeadlineNanos,
         boolean retryPossible,
--- a/node/src/main/java/fawnlb/stream/StreamRegistry.java
+++ b/node/src/main/java/fawnlb/stream/StreamRegistry.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.memory.MemoryBudget;
 import fawnlb.memory.MemoryReservation;
 import fawnlb.memory.MemoryUse;
@@ -24,7 +25,7 @@
     private final LatencyBaseline latencyBaseline = new LatencyBaseline();
     private final MemoryBudget memory;
     private final BufferLimit bufferLimit;
-    private final Map<Long, BackendStreams> backends = new HashMap<>();
+    private final Map<EndpointId, BackendStreams> backends = new HashMap<>();
     private int activeBackends;
     private int stalledBackends;
 
@@ -62,7 +63,7 @@
     }
 
     /** The backend has left the endpoint list; what is known of it is dropped with its last stream. */
-    public void onBackendRemoved(long backendId) {
+    public void onBackendRemoved(EndpointId backendId) {
         BackendStreams streams = backends.get(backendId);
         if (streams != null) {
             streams.onRemoved();
@@ -70,7 +71,7 @@
         }
     }
 
-    private void dropIfUnused(long backendId, BackendStreams streams) {
+    private void dropIfUnused(EndpointId backendId, BackendStreams streams) {
         if (streams.isUnused()) {
             backends.remove(backendId);
             latencyBaseline.forget(backendId);
@@ -102,7 +103,7 @@
     }
 
     /** How long a backend may be silent between two events before its stream is ended. */
-    long allowedGapNanos(long backendId) {
+    long allowedGapNanos(EndpointId backendId) {
         if (!timeouts.isAdaptive()) {
             return timeouts.maxSilenceNanos();
         }
--- a/node/src/main/java/fawnlb/stream/StreamStatistics.java
+++ b/node/src/main/java/fawnlb/stream/StreamStatistics.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import fawnlb.decision.EndpointId;
 import java.util.Map;
 
 /**
@@ -13,7 +14,7 @@
  * @param bufferedBytes the bytes that are buffered for the streams' clients
  */
 public record StreamStatistics(
-        long backend,
+        EndpointId backend,
         int openStreams,
         Map<StreamState, Integer> streamsByState,
         Map<String, Long> endsByLabel,
--- a/node/src/test/java/fawnlb/backend/BackendPoolHarness.java
+++ b/node/src/test/java/fawnlb/backend/BackendPoolHarness.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.eventloop.EventLoopTimers;
 import fawnlb.memory.MemoryBudget;
@@ -70,7 +71,7 @@
     }
 
     void updateBackend(int id, InetSocketAddress address, EndpointPhase phase) {
-        pool.updateBackend(id, address, 0, phase, Dialect.CHAT);
+        pool.updateBackend(EndpointId.ofNumber(id), address, 0, phase, Dialect.CHAT);
     }
 
     /** Starts an attempt that may take a second, and that may be sent at any time. */
@@ -88,7 +89,7 @@
                 TestBodies.of(Dialect.CHAT, new byte[2], null),
                 OutboundRequest.ResponseSummary.withoutUsage());
         IncomingRequest request = new IncomingRequest(0, 0, 1, 0, SECOND_NANOS, 1, 0, 1, false, payload);
-        pool.startAttempt(id, request, responseDeadlineNanos, sendDeadlineNanos, true, this);
+        pool.startAttempt(EndpointId.ofNumber(id), request, responseDeadlineNanos, sendDeadlineNanos, true, this);
     }
 
     /** Waits for the next attempt to end, and returns its end's label; null if none ends within ten seconds. */
--- a/node/src/test/java/fawnlb/cli/SnapshotPrinterTest.java
+++ b/node/src/test/java/fawnlb/cli/SnapshotPrinterTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.snapshot.Snapshot;
@@ -19,8 +20,8 @@
     private static final long NOW_MILLIS = 1000 * 24 * HOUR_MILLIS;
 
     private static Snapshot.Entry entry(String id, long startedMillis, long listedMillis, long respondedMillis) {
-        DiscoveredEndpoint endpoint =
-                new DiscoveredEndpoint(id, "10.0.0.7", 80, "east", "big", 0, EndpointPhase.READY, 1, startedMillis);
+        DiscoveredEndpoint endpoint = new DiscoveredEndpoint(
+                EndpointId.of(id), "10.0.0.7", 80, "east", "big", 0, EndpointPhase.READY, 1, startedMillis);
         return new Snapshot.Entry(endpoint, listedMillis, respondedMillis);
     }
 
--- a/node/src/test/java/fawnlb/discovery/AddressOwnersTest.java
+++ b/node/src/test/java/fawnlb/discovery/AddressOwnersTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -15,7 +16,7 @@
     }
 
     private static DiscoveredEndpoint endpoint(String id, int port, EndpointPhase phase, long upSinceMillis) {
-        return new DiscoveredEndpoint(id, "10.0.0.1", port, "a", "c", 0, phase, 1, upSinceMillis);
+        return new DiscoveredEndpoint(EndpointId.of(id), "10.0.0.1", port, "a", "c", 0, phase, 1, upSinceMillis);
     }
 
     private String resolveComplete(DiscoveredEndpoint... endpoints) {
@@ -28,7 +29,7 @@
 
     private String resolve(boolean complete, DiscoveredEndpoint... endpoints) {
         return owners.resolve(new EndpointList(1, complete, List.of(endpoints))).endpoints().stream()
-                .map(endpoint -> endpoint.id() + ' ' + endpoint.phase())
+                .map(endpoint -> endpoint.id().name() + ' ' + endpoint.phase())
                 .collect(Collectors.joining(", "));
     }
 
--- a/node/src/test/java/fawnlb/discovery/EndpointListCodecTest.java
+++ b/node/src/test/java/fawnlb/discovery/EndpointListCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.EndpointListFormatException.Reason;
 import java.io.IOException;
@@ -47,10 +48,10 @@
         for (Map.Entry<String, EndpointPhase> row : phases.entrySet()) {
             EndpointList list = EndpointListCodec.parse(listJson(endpointJson(row.getKey())));
 
-            DiscoveredEndpoint endpoint =
-                    new DiscoveredEndpoint("s-5be2a07c", "127.0.0.1", 9, "a", "m2", 3, row.getValue(), 1.5, 7);
+            DiscoveredEndpoint endpoint = new DiscoveredEndpoint(
+                    EndpointId.of("s-5be2a07c"), "127.0.0.1", 9, "a", "m2", 3, row.getValue(), 1.5, 7);
             assertEquals(new EndpointList(4, true, List.of(endpoint)), list);
-            assertEquals(0x5be2a07cL, list.endpoints().get(0).numericId());
+            assertEquals("s-5be2a07c", list.endpoints().get(0).id().name());
         }
     }
 
--- a/node/src/test/java/fawnlb/discovery/EndpointStartTimesTest.java
+++ b/node/src/test/java/fawnlb/discovery/EndpointStartTimesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import java.util.List;
 import org.junit.Test;
@@ -27,8 +28,12 @@
     private final EndpointStartTimes starts = new EndpointStartTimes();
 
     private static DiscoveredEndpoint endpoint(int number, long startedAtNanos) {
+        return endpoint(String.format("s-%08x", number), startedAtNanos);
+    }
+
+    private static DiscoveredEndpoint endpoint(String id, long startedAtNanos) {
         return new DiscoveredEndpoint(
-                String.format("s-%08x", number),
+                EndpointId.of(id),
                 "127.0.0.1",
                 1,
                 "a",
@@ -48,6 +53,18 @@
         return now - starts.startedAt(endpoint);
     }
 
+    /** Guards against slow starts that are skipped: of endpoints whose ids end alike, the later start hid the other. */
+    @Test
+    public void endpointsWhoseIdsEndAlikeHaveStartsOfTheirOwn() {
+        DiscoveredEndpoint young = endpoint("s-0000000a", TRUE_TIME - NANOS_PER_SECOND);
+        DiscoveredEndpoint old = endpoint("t-0000000a", TRUE_TIME - NANOS_PER_HOUR);
+
+        receiveList(TRUE_TIME, young, old);
+
+        assertEquals(NANOS_PER_SECOND, ageNanos(TRUE_TIME, young));
+        assertEquals(NANOS_PER_HOUR, ageNanos(TRUE_TIME, old));
+    }
+
     @Test
     public void endpointThatJoinsOnALiveWatchIsNoOlderThanTheLastContact() {
         for (long offset : CLOCK_OFFSETS_NANOS) {
--- a/node/src/test/java/fawnlb/metrics/LogLineTest.java
+++ b/node/src/test/java/fawnlb/metrics/LogLineTest.java
@@ -23,8 +23,8 @@
     @Test
     public void backendCanBeNamedByItsId() {
         assertEquals(
-                "health check failed backend=42",
-                LogLine.event("health check failed").backend(42).toString());
+                "health check failed backend=s-0000002a",
+                LogLine.event("health check failed").backend("s-0000002a").toString());
     }
 
     @Test
--- a/node/src/test/java/fawnlb/policy/ActionDigest.java
+++ b/node/src/test/java/fawnlb/policy/ActionDigest.java
@@ -37,7 +37,7 @@
     void add(long now, LoadBalancerAction action) {
         actions++;
         if (action instanceof LoadBalancerAction.StartAttempt start) {
-            put(now, START_ATTEMPT, start.requestId(), start.endpointId(), start.deadline());
+            put(now, START_ATTEMPT, start.requestId(), start.endpointId().ringSeed(), start.deadline());
         } else if (action instanceof LoadBalancerAction.CancelAttempt cancel) {
             put(now, CANCEL_ATTEMPT, cancel.requestId(), cancel.attempt());
         } else if (action instanceof LoadBalancerAction.RejectRequest reject) {
@@ -51,7 +51,7 @@
         } else if (action instanceof LoadBalancerAction.FetchEndpoints) {
             put(now, FETCH_ENDPOINTS);
         } else if (action instanceof LoadBalancerAction.CheckHealth check) {
-            put(now, CHECK_HEALTH, check.endpointId());
+            put(now, CHECK_HEALTH, check.endpointId().ringSeed());
         } else if (action instanceof LoadBalancerAction.Log log) {
             put(now, LOG);
             digest.update(log.text().getBytes(StandardCharsets.UTF_8));
--- a/node/src/test/java/fawnlb/policy/EndpointCapacityTest.java
+++ b/node/src/test/java/fawnlb/policy/EndpointCapacityTest.java
@@ -7,6 +7,7 @@
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.LoadBalancerSettings.EndpointLifecycle;
 import org.junit.Before;
 import org.junit.Test;
@@ -28,13 +29,16 @@
     @Before
     public void list() {
         PolicyFixtures.listReadyEndpoints(table, pace, ENDPOINTS, 1);
-        table.ready().forEach(endpoint -> endpoint.startedAt = 1 + endpoint.id);
+        table.ready().forEach(endpoint -> endpoint.startedAt = 1 + endpoint.id.ringSeed());
         pace.onReadyChanged(table.ready());
         rollout.onReadyChanged(table.ready());
     }
 
     private EndpointState endpoint(long id) {
-        return table.ready().stream().filter(e -> e.id == id).findFirst().orElseThrow();
+        return table.ready().stream()
+                .filter(e -> e.id.equals(EndpointId.ofNumber(id)))
+                .findFirst()
+                .orElseThrow();
     }
 
     private long limit(EndpointState endpoint) {
--- a/node/src/test/java/fawnlb/policy/EndpointSelectionTest.java
+++ b/node/src/test/java/fawnlb/policy/EndpointSelectionTest.java
@@ -98,7 +98,7 @@
         Map<Long, Integer> out = new HashMap<>();
         for (int i = 0; i < 60; i++) {
             harness.arrive(5, 5);
-            int count = out.merge(harness.lastAttempt().endpointId(), 1, Integer::sum);
+            int count = out.merge(harness.lastAttempt().endpointId().ringSeed(), 1, Integer::sum);
             assertTrue(count <= Math.max(LoadBound.MIN_BOUND, LoadBound.bound(i, 10, LoadBound.MAX_WIDENING)));
         }
         assertTrue(out.size() >= 5, "used " + out.size());
@@ -142,7 +142,7 @@
             long primary = harness.primaryEndpoint(3);
             for (int i = 0; i < LoadBound.MIN_BOUND; i++) {
                 harness.arrive(0, 3);
-                assertEquals(primary, harness.lastAttempt().endpointId());
+                assertEquals(primary, harness.lastAttempt().endpointId().ringSeed());
                 harness.endAttempt(harness.lastAttempt(), 0, outcome, true);
                 harness.now += 60 * LoadBalancerHarness.S;
             }
--- a/node/src/test/java/fawnlb/policy/EndpointSelectorTest.java
+++ b/node/src/test/java/fawnlb/policy/EndpointSelectorTest.java
@@ -9,6 +9,7 @@
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent.EndpointsUpdated;
@@ -38,7 +39,7 @@
     /** Lists endpoints of three zones by turns. */
     private void list(int count) {
         List<Endpoint> endpoints = LongStream.rangeClosed(1, count)
-                .mapToObj(id -> new Endpoint(id, EndpointPhase.READY, 0, 1, (int) (id % 3), 0, 0))
+                .mapToObj(id -> new Endpoint(EndpointId.ofNumber(id), EndpointPhase.READY, 0, 1, (int) (id % 3), 0, 0))
                 .toList();
         update(EndpointUpdateKind.FULL, endpoints);
     }
--- a/node/src/test/java/fawnlb/policy/EndpointTableTest.java
+++ b/node/src/test/java/fawnlb/policy/EndpointTableTest.java
@@ -5,6 +5,7 @@
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent.EndpointsUpdated;
@@ -17,7 +18,7 @@
     private final EndpointTable table = new EndpointTable(LOCAL_ZONE);
 
     private static Endpoint listed(long id, EndpointPhase phase) {
-        return new Endpoint(id, phase, 0, 1, (int) (id % 3), 0, 0);
+        return new Endpoint(EndpointId.ofNumber(id), phase, 0, 1, (int) (id % 3), 0, 0);
     }
 
     private static Endpoint ready(long id) {
@@ -31,7 +32,7 @@
 
     private EndpointState endpoint(long id) {
         return table.ready().stream()
-                .filter(endpoint -> endpoint.id == id)
+                .filter(endpoint -> endpoint.id.equals(EndpointId.ofNumber(id)))
                 .findFirst()
                 .orElseThrow();
     }
@@ -87,10 +88,10 @@
      */
     @Test
     public void goneEndpointKeepsItsZoneAndCell() {
-        update(EndpointUpdateKind.FULL, new Endpoint(5, EndpointPhase.READY, 0, 1, 2, 9, 0));
+        update(EndpointUpdateKind.FULL, new Endpoint(EndpointId.ofNumber(5), EndpointPhase.READY, 0, 1, 2, 9, 0));
         EndpointState removed = endpoint(5);
         table.onAttemptStarted(removed);
-        update(EndpointUpdateKind.DELTA, new Endpoint(5, EndpointPhase.GONE, 0, 1, 0, 0, 0));
+        update(EndpointUpdateKind.DELTA, new Endpoint(EndpointId.ofNumber(5), EndpointPhase.GONE, 0, 1, 0, 0, 0));
         assertTrue(removed.isGone());
         assertEquals(2, removed.zone);
         assertEquals(9, removed.cell);
@@ -127,7 +128,7 @@
     public void medianIsTheUpperOneOfTheReadyEndpoints() {
         assertEquals(0, table.readyMedian(endpoint -> 5), 0);
         update(EndpointUpdateKind.FULL, ready(10), ready(30), ready(20), ready(40), listed(1, EndpointPhase.DRAINING));
-        assertEquals(30, table.readyMedian(endpoint -> endpoint.id), 0);
+        assertEquals(30, table.readyMedian(endpoint -> endpoint.id.ringSeed()), 0);
     }
 
     @Test
--- a/node/src/test/java/fawnlb/policy/FleetSlowStartTest.java
+++ b/node/src/test/java/fawnlb/policy/FleetSlowStartTest.java
@@ -5,6 +5,7 @@
 import static org.junit.Assert.assertTrue;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerAction.StartAttempt;
@@ -165,11 +166,12 @@
         BoundedLoadBalancer loadBalancer =
                 new BoundedLoadBalancer(LoadBalancerHarness.instanceSettings(2, 0), seed, action -> {
                     if (action instanceof StartAttempt start) {
-                        endpointIds.add(start.endpointId());
+                        endpointIds.add(start.endpointId().ringSeed());
                     }
                 });
         List<Endpoint> endpoints = LongStream.rangeClosed(1, 2)
-                .mapToObj(id -> new Endpoint(id, EndpointPhase.READY, id <= warmEndpoints ? 0 : now, 1, 0, 0, 0))
+                .mapToObj(id -> new Endpoint(
+                        EndpointId.ofNumber(id), EndpointPhase.READY, id <= warmEndpoints ? 0 : now, 1, 0, 0, 0))
                 .toList();
         loadBalancer.onEvent(now, new EndpointsUpdated(EndpointUpdateKind.FULL, 1, endpoints));
         for (long key = 1; key <= 20; key++) {
--- a/node/src/test/java/fawnlb/policy/LoadAdaptationTest.java
+++ b/node/src/test/java/fawnlb/policy/LoadAdaptationTest.java
@@ -35,9 +35,9 @@
             harness.arrive(isRare ? 5000 : i % 2 == 0 ? 6000 : 10_000 + i, 1 + i);
             StartAttempt started = harness.lastAttempt();
             if (i > 300 && isRare) {
-                rare.add(started.endpointId());
+                rare.add(started.endpointId().ringSeed());
             } else if (i > 300 && i % 2 == 0) {
-                hot.add(started.endpointId());
+                hot.add(started.endpointId().ringSeed());
             }
             harness.endAttempt(started, 0, AttemptOutcome.SERVED, true);
         }
@@ -70,8 +70,8 @@
             Set<Long> unreachable = new HashSet<>();
             for (long session = 1; unreachable.size() < 3; session++) {
                 harness.arrive(0, session);
-                if (harness.lastAttempt().endpointId() % several == several - 1) {
-                    unreachable.add(harness.lastAttempt().endpointId());
+                if (harness.lastAttempt().endpointId().ringSeed() % several == several - 1) {
+                    unreachable.add(harness.lastAttempt().endpointId().ringSeed());
                     harness.endAttempt(harness.lastAttempt(), 0, AttemptOutcome.CONNECT_FAILED, true);
                 } else {
                     harness.endAttempt(harness.lastAttempt(), 0, AttemptOutcome.SERVED, true);
@@ -157,8 +157,8 @@
             harness.now += 10 * MS;
             harness.arrive(0, 50_000 + i);
             StartAttempt started = harness.lastAttempt();
-            received += started.endpointId() == id ? 1 : 0;
-            harness.startResponse(started, 0, started.endpointId() == id ? firstToken : 100 * MS);
+            received += started.endpointId().ringSeed() == id ? 1 : 0;
+            harness.startResponse(started, 0, started.endpointId().ringSeed() == id ? firstToken : 100 * MS);
             inFlight.add(started);
             if (inFlight.size() > 20) {
                 harness.endAttempt(inFlight.poll(), 0, AttemptOutcome.SERVED, true, 4 * S);
@@ -214,7 +214,7 @@
         long most = harness.startedAttempts().stream()
                 .skip(300)
                 .filter(s ->
-                        s.endpointId() == harness.startedAttempts().get(300).endpointId())
+                        s.endpointId().equals(harness.startedAttempts().get(300).endpointId()))
                 .count();
         int endpoints = (int) harness.startedAttempts().stream()
                 .map(StartAttempt::endpointId)
@@ -223,8 +223,7 @@
         assertEquals(4, endpoints);
         assertTrue(most > 0);
         long busiest = harness.startedAttempts().stream()
-                .mapToLong(StartAttempt::endpointId)
-                .boxed()
+                .map(StartAttempt::endpointId)
                 .collect(Collectors.groupingBy(r -> r, Collectors.counting()))
                 .values()
                 .stream()
@@ -244,7 +243,7 @@
             StartAttempt first = harness.lastAttempt();
             harness.arrive(0, 11);
             StartAttempt second = harness.lastAttempt();
-            assertEquals(primary, second.endpointId());
+            assertEquals(primary, second.endpointId().ringSeed());
             harness.startResponse(first, 0, 100 * MS);
             harness.endAttempt(first, 0, outcome, true);
             harness.startResponse(second, 0, 100 * MS);
--- a/node/src/test/java/fawnlb/policy/LoadBalancerHarness.java
+++ b/node/src/test/java/fawnlb/policy/LoadBalancerHarness.java
@@ -2,6 +2,7 @@
 
 import fawnlb.decision.AttemptOutcome;
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.Idempotency;
@@ -70,7 +71,7 @@
     }
 
     static Endpoint endpoint(long id, EndpointPhase phase, long startedAt, int zone) {
-        return new Endpoint(id, phase, startedAt, 1, zone, (int) id, 0);
+        return new Endpoint(EndpointId.ofNumber(id), phase, startedAt, 1, zone, (int) id, 0);
     }
 
     LoadBalancerHarness updateEndpoints(EndpointUpdateKind kind, Endpoint... endpoints) {
@@ -141,6 +142,6 @@
         arrive(0, session);
         StartAttempt started = lastAttempt();
         endAttempt(started, 0, AttemptOutcome.SERVED, true);
-        return started.endpointId();
+        return started.endpointId().ringSeed();
     }
 }
--- a/node/src/test/java/fawnlb/policy/PolicyFixtures.java
+++ b/node/src/test/java/fawnlb/policy/PolicyFixtures.java
@@ -1,6 +1,7 @@
 package fawnlb.policy;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.Idempotency;
@@ -50,7 +51,7 @@
     }
 
     static EndpointState endpoint(long id, int zone, int cell) {
-        EndpointState endpoint = new EndpointState(id);
+        EndpointState endpoint = new EndpointState(EndpointId.ofNumber(id));
         endpoint.phase = EndpointPhase.READY;
         endpoint.zone = zone;
         endpoint.cell = cell;
@@ -64,7 +65,8 @@
     /** Lists endpoints 0 to {@code count - 1}, all ready and in one zone, with as many kinds in turn as given. */
     static void listReadyEndpoints(EndpointTable table, StreamPaceTracker pace, int count, int kinds) {
         List<Endpoint> endpoints = LongStream.range(0, count)
-                .mapToObj(id -> new Endpoint(id, EndpointPhase.READY, 0, 1, 0, 0, (int) (id % kinds)))
+                .mapToObj(id ->
+                        new Endpoint(EndpointId.ofNumber(id), EndpointPhase.READY, 0, 1, 0, 0, (int) (id % kinds)))
                 .toList();
         table.update(
                 new EndpointsUpdated(EndpointUpdateKind.FULL, 1, endpoints),
--- a/node/src/test/java/fawnlb/policy/RecordedFaultsTest.java
+++ b/node/src/test/java/fawnlb/policy/RecordedFaultsTest.java
@@ -10,6 +10,7 @@
 import static org.junit.Assert.assertEquals;
 
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.Idempotency;
@@ -35,6 +36,8 @@
     private static final RequestClass OBJECTIVE_PER_TOKEN = new RequestClass(
             Idempotency.IDEMPOTENT, IdempotencyScope.ALL, 0, 200 * MS, 0.5 * MS, 4 * S, 0, 2, 0.5, false);
 
+    private static final EndpointId FIRST_ENDPOINT = EndpointId.ofNumber(1);
+
     private static final RequestClass SHORT_WINDOW =
             new RequestClass(Idempotency.IDEMPOTENCY_KEY, IdempotencyScope.ALL, 50 * MS, S, 0, 4 * S, 0, 1, 0, true);
 
@@ -160,13 +163,15 @@
     }
 
     private static void reportUnknownAttempts(SimulatedHost host, long requestId) {
-        host.handle(new LoadBalancerEvent.AttemptEnded(requestId, 3, 1, AttemptOutcome.SERVED, true, 1, 0, List.of()));
-        host.handle(new LoadBalancerEvent.ResponseStarted(requestId, 3, 1, 1));
-        host.handle(new LoadBalancerEvent.AttemptEnded(5, 0, 1, AttemptOutcome.SERVED, true, 1, 0, List.of()));
-        host.handle(new LoadBalancerEvent.ResponseStarted(5, 0, 1, 1));
+        host.handle(new LoadBalancerEvent.AttemptEnded(
+                requestId, 3, FIRST_ENDPOINT, AttemptOutcome.SERVED, true, 1, 0, List.of()));
+        host.handle(new LoadBalancerEvent.ResponseStarted(requestId, 3, FIRST_ENDPOINT, 1));
+        host.handle(
+                new LoadBalancerEvent.AttemptEnded(5, 0, FIRST_ENDPOINT, AttemptOutcome.SERVED, true, 1, 0, List.of()));
+        host.handle(new LoadBalancerEvent.ResponseStarted(5, 0, FIRST_ENDPOINT, 1));
         host.handle(new LoadBalancerEvent.ClientDisconnected(5));
         host.handle(new LoadBalancerEvent.PeerMessage(1, new byte[3]));
-        host.handle(new LoadBalancerEvent.HealthChecked(1, AttemptOutcome.SERVED, 1, List.of(Double.NaN)));
+        host.handle(new LoadBalancerEvent.HealthChecked(FIRST_ENDPOINT, AttemptOutcome.SERVED, 1, List.of(Double.NaN)));
         host.handle(new TimerFired(-7));
     }
 
--- a/node/src/test/java/fawnlb/policy/RequestLifecycleTest.java
+++ b/node/src/test/java/fawnlb/policy/RequestLifecycleTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.Idempotency;
@@ -64,8 +65,8 @@
         LoadBalancerHarness zone = after(Idempotency.IDEMPOTENCY_KEY, IdempotencyScope.ZONE, AttemptOutcome.ERROR);
         assertEquals(2, zone.startedAttempts().size());
         assertEquals(
-                zone.startedAttempts().get(0).endpointId() % 3,
-                zone.startedAttempts().get(1).endpointId() % 3);
+                zone.startedAttempts().get(0).endpointId().ringSeed() % 3,
+                zone.startedAttempts().get(1).endpointId().ringSeed() % 3);
         LoadBalancerHarness cell = after(Idempotency.IDEMPOTENCY_KEY, IdempotencyScope.CELL, AttemptOutcome.ERROR);
         assertEquals(1, cell.startedAttempts().size());
         assertEquals(1, cell.actionsOf(FailRequest.class).size());
@@ -143,7 +144,7 @@
         harness.arrive(1, 2);
         assertEquals(0, harness.startedAttempts().size());
         harness.updateEndpoints(EndpointUpdateKind.DELTA, endpoint(2, EndpointPhase.READY, 0, 0));
-        assertEquals(2, harness.lastAttempt().endpointId());
+        assertEquals(2, harness.lastAttempt().endpointId().ringSeed());
     }
 
     @Test
@@ -164,14 +165,16 @@
     @Test
     void eventsOfUnknownRequestsAreIgnored() {
         LoadBalancerHarness harness = LoadBalancerHarness.withEndpoints(2);
-        StartAttempt stranger = new StartAttempt(55, 1, 0);
+        StartAttempt stranger = new StartAttempt(55, EndpointId.ofNumber(1), 0);
         harness.endAttempt(stranger, 0, AttemptOutcome.SERVED, true);
         harness.startResponse(stranger, 3, 1);
         harness.loadBalancer.onEvent(harness.now, new LoadBalancerEvent.ClientDisconnected(55));
         harness.loadBalancer.onEvent(harness.now, new TimerFired(-7));
         harness.loadBalancer.onEvent(harness.now, new LoadBalancerEvent.PeerMessage(1, new byte[3]));
         harness.loadBalancer.onEvent(
-                harness.now, new LoadBalancerEvent.HealthChecked(1, AttemptOutcome.SERVED, 1, List.of(Double.NaN)));
+                harness.now,
+                new LoadBalancerEvent.HealthChecked(
+                        EndpointId.ofNumber(1), AttemptOutcome.SERVED, 1, List.of(Double.NaN)));
         assertEquals(List.of(), harness.actions);
     }
 
--- a/node/src/test/java/fawnlb/policy/SimulatedFleet.java
+++ b/node/src/test/java/fawnlb/policy/SimulatedFleet.java
@@ -5,6 +5,7 @@
 
 import fawnlb.decision.AttemptOutcome;
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerAction;
@@ -104,7 +105,7 @@
     }
 
     private Endpoint endpoint(long id, EndpointPhase phase, long startedAt) {
-        return new Endpoint(id, phase, startedAt, 1, 0, 0, isSlow(id) ? 1 : 0);
+        return new Endpoint(EndpointId.ofNumber(id), phase, startedAt, 1, 0, 0, isSlow(id) ? 1 : 0);
     }
 
     /** Tells all instances of the first endpoint's phase. */
@@ -136,16 +137,17 @@
     }
 
     private void onAttemptStarted(int instance, StartAttempt start) {
-        long endpointId = start.endpointId();
+        EndpointId endpointId = start.endpointId();
+        long number = endpointId.ringSeed();
         long requestId = start.requestId();
         endpointsOfPrefix
                 .computeIfAbsent(prefixOfRequest.get(requestId), prefix -> new HashSet<>())
-                .add(endpointId);
-        attemptsOfEndpoint.merge(endpointId, 1, Integer::sum);
-        if (endpointId == FIRST_ENDPOINT) {
+                .add(number);
+        attemptsOfEndpoint.merge(number, 1, Integer::sum);
+        if (number == FIRST_ENDPOINT) {
             attemptTimesOfFirstEndpoint.add(queue.now());
         }
-        long responseNanos = isSlow(endpointId) ? slowResponseNanos : RESPONSE_NANOS;
+        long responseNanos = isSlow(number) ? slowResponseNanos : RESPONSE_NANOS;
         after(FIRST_TOKEN_NANOS, instance, new ResponseStarted(requestId, 0, endpointId, FIRST_TOKEN_NANOS));
         after(
                 responseNanos,
--- a/node/src/test/java/fawnlb/policy/SimulatedHost.java
+++ b/node/src/test/java/fawnlb/policy/SimulatedHost.java
@@ -2,6 +2,7 @@
 
 import fawnlb.decision.AttemptOutcome;
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerAction;
@@ -120,7 +121,8 @@
 
     /** An endpoint of zones 0 to 2 and kinds 0 and 1 by turns, six endpoints a cell. */
     static Endpoint endpoint(long id, EndpointPhase phase, long startedAt) {
-        return new Endpoint(id, phase, startedAt, 1, (int) (id % 3), (int) (id / 6), (int) (id % 2));
+        return new Endpoint(
+                EndpointId.ofNumber(id), phase, startedAt, 1, (int) (id % 3), (int) (id / 6), (int) (id % 2));
     }
 
     /** Endpoints with ids from 1 on. */
@@ -273,7 +275,7 @@
         Exchange exchange = exchanges.get(start.requestId());
         Running attempt = new Running(start, exchange.attempts.size());
         exchange.attempts.add(attempt);
-        Behavior behavior = behaviors.getOrDefault(start.endpointId(), Behavior.HEALTHY);
+        Behavior behavior = behaviors.getOrDefault(start.endpointId().ringSeed(), Behavior.HEALTHY);
         boolean fails = random.nextDouble() < behavior.failureProbability();
         long jitter = random.nextLong(20 * MS);
         long first = behavior.firstTokenNanos() + jitter;
@@ -307,7 +309,7 @@
     }
 
     private void stream(Exchange exchange, Running attempt, long first, boolean fails) {
-        Behavior behavior = behaviors.getOrDefault(attempt.start.endpointId(), Behavior.HEALTHY);
+        Behavior behavior = behaviors.getOrDefault(attempt.start.endpointId().ringSeed(), Behavior.HEALTHY);
         long took = first + (long) (behavior.nanosPerToken() * exchange.request.maxTokens());
         boolean streams = settings.requestClass(exchange.request.classIndex()).isStreaming();
         if (streams) {
--- a/node/src/test/java/fawnlb/policy/StreamPaceTrackerTest.java
+++ b/node/src/test/java/fawnlb/policy/StreamPaceTrackerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.LoadBalancerEvent.RequestArrived;
 import java.util.stream.LongStream;
 import org.junit.Before;
@@ -23,7 +24,10 @@
     }
 
     private EndpointState endpoint(long id) {
-        return table.ready().stream().filter(e -> e.id == id).findFirst().orElseThrow();
+        return table.ready().stream()
+                .filter(e -> e.id.equals(EndpointId.ofNumber(id)))
+                .findFirst()
+                .orElseThrow();
     }
 
     private void record(long id, int streams, long nanos) {
--- a/node/src/test/java/fawnlb/policy/ZoneAffinityTest.java
+++ b/node/src/test/java/fawnlb/policy/ZoneAffinityTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent.EndpointsUpdated;
@@ -18,7 +19,8 @@
     private static EndpointTable table(int localZone, int zones) {
         EndpointTable table = new EndpointTable(localZone);
         List<Endpoint> endpoints = LongStream.range(0, 12)
-                .mapToObj(id -> new Endpoint(id, EndpointPhase.READY, 0, 1, (int) (id % zones), 0, 0))
+                .mapToObj(id ->
+                        new Endpoint(EndpointId.ofNumber(id), EndpointPhase.READY, 0, 1, (int) (id % zones), 0, 0))
                 .toList();
         table.update(new EndpointsUpdated(EndpointUpdateKind.FULL, 1, endpoints), (known, listed) -> {});
         table.recount();
--- a/node/src/test/java/fawnlb/proxy/LoadBalancerNotifierTest.java
+++ b/node/src/test/java/fawnlb/proxy/LoadBalancerNotifierTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerAction.CheckHealth;
 import fawnlb.decision.LoadBalancerAction.SetTimer;
@@ -25,7 +26,7 @@
     public void healthCheckResultIsReported() {
         RequestProxyHarness harness = new RequestProxyHarness();
 
-        harness.perform(new CheckHealth(4));
+        harness.perform(new CheckHealth(EndpointId.ofNumber(4)));
 
         assertEquals(List.of(2.0), ((HealthChecked) harness.events.get(0)).loadReport());
     }
--- a/node/src/test/java/fawnlb/proxy/RequestProxyHarness.java
+++ b/node/src/test/java/fawnlb/proxy/RequestProxyHarness.java
@@ -4,6 +4,7 @@
 
 import fawnlb.config.SettingsParser;
 import fawnlb.decision.AttemptOutcome;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.LoadBalancer;
 import fawnlb.decision.LoadBalancerAction;
 import fawnlb.decision.LoadBalancerEvent;
@@ -86,7 +87,7 @@
     }
 
     void startAttempt(long request, long endpoint) {
-        perform(new LoadBalancerAction.StartAttempt(request, endpoint, 0));
+        perform(new LoadBalancerAction.StartAttempt(request, EndpointId.ofNumber(endpoint), 0));
     }
 
     /** Reports the end of an attempt; attempts are counted from 0 over all requests. */
@@ -138,7 +139,7 @@
     private final class RecordingBackends implements Backends {
         @Override
         public Attempt startAttempt(
-                long backend,
+                EndpointId backend,
                 IncomingRequest request,
                 long responseDeadline,
                 long sendDeadline,
@@ -156,7 +157,7 @@
         }
 
         @Override
-        public void checkHealth(long backend, HealthCheckListener listener) {
+        public void checkHealth(EndpointId backend, HealthCheckListener listener) {
             listener.onHealthChecked(AttemptOutcome.SERVED, List.of(2.0));
         }
     }
--- a/node/src/test/java/fawnlb/restore/ContactAgeWeightsTest.java
+++ b/node/src/test/java/fawnlb/restore/ContactAgeWeightsTest.java
@@ -2,13 +2,14 @@
 
 import static org.junit.Assert.assertEquals;
 
+import fawnlb.decision.EndpointId;
 import java.util.Map;
 import org.junit.Test;
 
 public class ContactAgeWeightsTest {
     private static final long NANOS_PER_HOUR = 3_600_000_000_000L;
     private static final long NOW = 1_000 * NANOS_PER_HOUR;
-    private static final long ENDPOINT = 1;
+    private static final EndpointId ENDPOINT = EndpointId.ofNumber(1);
     private static final double TOLERANCE = 1e-9;
 
     private static double weightOfContactAt(long contactAt, long now) {
@@ -26,7 +27,7 @@
     @Test
     public void unknownAgeWeighsHalf() {
         assertEquals("no time", 0.5, weightOfContactAt(0, NOW), TOLERANCE);
-        assertEquals("no entry", 0.5, new ContactAgeWeights(NANOS_PER_HOUR, Map.of()).weight(NOW, 2), TOLERANCE);
+        assertEquals("no entry", 0.5, new ContactAgeWeights(NANOS_PER_HOUR, Map.of()).weight(NOW, ENDPOINT), TOLERANCE);
     }
 
     /** Such a time comes from a clock that was set, not from a recent contact. */
--- a/node/src/test/java/fawnlb/restore/RestoredEndpointFilterTest.java
+++ b/node/src/test/java/fawnlb/restore/RestoredEndpointFilterTest.java
@@ -6,6 +6,7 @@
 
 import fawnlb.decision.AttemptOutcome;
 import fawnlb.decision.Endpoint;
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent.AttemptEnded;
@@ -50,13 +51,13 @@
                 emptyListHoldNanos);
     }
 
-    private static RestoredEndpointFilter filter(Map<Long, Long> lastContactAt) {
+    private static RestoredEndpointFilter filter(Map<EndpointId, Long> lastContactAt) {
         return new RestoredEndpointFilter(settings(0), 1, lastContactAt, line -> {});
     }
 
-    private static Map<Long, Long> contactsOfAge(long ageNanos, long... ids) {
+    private static Map<EndpointId, Long> contactsOfAge(long ageNanos, long... ids) {
         long contactAt = ageNanos == UNKNOWN_AGE ? 0 : NOW - ageNanos;
-        return LongStream.of(ids).boxed().collect(Collectors.toMap(id -> id, id -> contactAt));
+        return LongStream.of(ids).boxed().collect(Collectors.toMap(EndpointId::ofNumber, id -> contactAt));
     }
 
     private static EndpointsUpdated update(EndpointUpdateKind kind, long... readyIds) {
@@ -69,7 +70,7 @@
     }
 
     private static Endpoint endpoint(long id, EndpointPhase phase) {
-        return new Endpoint(id, phase, 0, 1, 0, 0, 0);
+        return new Endpoint(EndpointId.ofNumber(id), phase, 0, 1, 0, 0, 0);
     }
 
     private static EndpointsUpdated failure(EndpointUpdateKind kind) {
@@ -88,10 +89,12 @@
         if (published.kind() == EndpointUpdateKind.FULL || published.kind() == EndpointUpdateKind.CACHED) {
             publishedLimits.clear();
         }
-        published.endpoints().forEach(endpoint -> publishedLimits.put(endpoint.id(), endpoint.capacity()));
+        published
+                .endpoints()
+                .forEach(endpoint -> publishedLimits.put(endpoint.id().ringSeed(), endpoint.capacity()));
         published.endpoints().stream()
                 .filter(endpoint -> endpoint.phase() == EndpointPhase.GONE)
-                .forEach(endpoint -> publishedLimits.remove(endpoint.id()));
+                .forEach(endpoint -> publishedLimits.remove(endpoint.id().ringSeed()));
         return published;
     }
 
@@ -104,11 +107,11 @@
     }
 
     private void respond(RestoredEndpointFilter filter, long at, long id) {
-        apply(filter.onEvent(at, new ResponseStarted(1, 0, id, 1)));
+        apply(filter.onEvent(at, new ResponseStarted(1, 0, EndpointId.ofNumber(id), 1)));
     }
 
     private void endAttempt(RestoredEndpointFilter filter, long at, long id, AttemptOutcome outcome) {
-        apply(filter.onEvent(at, new AttemptEnded(1, 0, id, outcome, false, 1, 0, List.of())));
+        apply(filter.onEvent(at, new AttemptEnded(1, 0, EndpointId.ofNumber(id), outcome, false, 1, 0, List.of())));
     }
 
     /** Restores these endpoints, with a discovery that fails at once. */
@@ -124,7 +127,7 @@
     }
 
     private RestoredEndpointFilter startHoldingEmptyLists(long holdNanos, long... ids) {
-        Map<Long, Long> lastContactAt = contactsOfAge(NANOS_PER_SECOND, ids);
+        Map<EndpointId, Long> lastContactAt = contactsOfAge(NANOS_PER_SECOND, ids);
         return restoreWithFailedDiscovery(
                 new RestoredEndpointFilter(settings(holdNanos), 1, lastContactAt, line -> {}), ids);
     }
@@ -144,11 +147,11 @@
 
     @Test
     public void mostRecentlyContactedIsTriedFirstAndAResponseAdmitsTheNext() {
-        Map<Long, Long> lastContactAt = Map.of(
-                1L, NOW - 48 * NANOS_PER_HOUR,
-                2L, NOW - 24 * NANOS_PER_HOUR,
-                3L, NOW - 30 * NANOS_PER_HOUR,
-                4L, NOW - 40 * NANOS_PER_HOUR);
+        Map<EndpointId, Long> lastContactAt = Map.of(
+                EndpointId.ofNumber(1), NOW - 48 * NANOS_PER_HOUR,
+                EndpointId.ofNumber(2), NOW - 24 * NANOS_PER_HOUR,
+                EndpointId.ofNumber(3), NOW - 30 * NANOS_PER_HOUR,
+                EndpointId.ofNumber(4), NOW - 40 * NANOS_PER_HOUR);
         RestoredEndpointFilter filter = restoreWithFailedDiscovery(filter(lastContactAt), 1, 2, 3, 4);
         assertEquals(Map.of(1L, 0, 2L, 1, 3L, 1, 4L, 1), publishedLimits);
 
@@ -166,12 +169,12 @@
             assertEquals(expectedLimits[i], (int) publishedLimits.get(1L));
             respond(filter, NOW + i * NANOS_PER_SECOND, 1);
         }
-        assertEquals(RestoredEndpointState.HALF_OPEN, filter.stateOf(1));
+        assertEquals(RestoredEndpointState.HALF_OPEN, filter.stateOf(EndpointId.ofNumber(1)));
         assertEquals(NOW + WARM_UP_NANOS, filter.nextWakeupAt());
 
         wakeUp(filter, NOW + WARM_UP_NANOS);
 
-        assertEquals(RestoredEndpointState.HEALTHY, filter.stateOf(1));
+        assertEquals(RestoredEndpointState.HEALTHY, filter.stateOf(EndpointId.ofNumber(1)));
         assertEquals(UNLIMITED, (int) publishedLimits.get(1L));
     }
 
@@ -191,7 +194,7 @@
 
             endAttempt(filter, NOW, 1, outcome);
 
-            boolean ejected = filter.stateOf(1) == RestoredEndpointState.EJECTED;
+            boolean ejected = filter.stateOf(EndpointId.ofNumber(1)) == RestoredEndpointState.EJECTED;
             assertEquals(outcome.toString(), !harmless.contains(outcome), ejected);
         }
     }
@@ -226,10 +229,10 @@
         wakeUp(filter, NOW + WARM_UP_NANOS);
 
         endAttempt(filter, NOW + 10 * NANOS_PER_SECOND, 1, AttemptOutcome.TIMEOUT);
-        assertEquals(RestoredEndpointState.HEALTHY, filter.stateOf(1));
+        assertEquals(RestoredEndpointState.HEALTHY, filter.stateOf(EndpointId.ofNumber(1)));
 
         endAttempt(filter, NOW + 10 * NANOS_PER_SECOND, 1, AttemptOutcome.CONNECT_FAILED);
-        assertEquals(RestoredEndpointState.EJECTED, filter.stateOf(1));
+        assertEquals(RestoredEndpointState.EJECTED, filter.stateOf(EndpointId.ofNumber(1)));
     }
 
     @Test
@@ -254,7 +257,7 @@
         receive(filter, NOW, update(EndpointUpdateKind.FULL, 1, 9));
 
         assertEquals(unlimited(1, 9), publishedLimits);
-        assertNull(filter.stateOf(1));
+        assertNull(filter.stateOf(EndpointId.ofNumber(1)));
     }
 
     @Test
@@ -284,7 +287,7 @@
         EndpointsUpdated failed = failure(EndpointUpdateKind.FAILED);
 
         assertEquals(failed, filter.onEndpointsUpdated(NOW, failed));
-        assertEquals(RestoredEndpointState.HALF_OPEN, filter.stateOf(1));
+        assertEquals(RestoredEndpointState.HALF_OPEN, filter.stateOf(EndpointId.ofNumber(1)));
     }
 
     @Test
@@ -324,7 +327,7 @@
 
     @Test
     public void differentSeedsTryDifferentEndpointsFirst() {
-        Map<Long, Long> lastContactAt = contactsOfAge(48 * NANOS_PER_HOUR, FOURTEEN_IDS);
+        Map<EndpointId, Long> lastContactAt = contactsOfAge(48 * NANOS_PER_HOUR, FOURTEEN_IDS);
         Map<Long, Integer> limitSums = new HashMap<>();
         for (long seed : new long[] {1, 2}) {
             restoreWithFailedDiscovery(
--- a/node/src/test/java/fawnlb/server/EndpointMemoryTest.java
+++ b/node/src/test/java/fawnlb/server/EndpointMemoryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.discovery.EndpointList;
@@ -22,7 +23,8 @@
     private final EndpointMemory memory = new EndpointMemory(budget, LIMIT);
 
     private static DiscoveredEndpoint endpoint(int number, EndpointPhase phase) {
-        return new DiscoveredEndpoint("s-0000000" + number, "127.0.0.1", 9000 + number, "a", "c", 0, phase, 1, 0);
+        return new DiscoveredEndpoint(
+                EndpointId.of("s-0000000" + number), "127.0.0.1", 9000 + number, "a", "c", 0, phase, 1, 0);
     }
 
     private static EndpointList list(boolean complete, EndpointPhase phase, int... numbers) {
@@ -35,9 +37,9 @@
 
     /** Checks a list while the endpoints 1 to the given number are known. */
     private void check(EndpointList list, int known) throws EndpointListFormatException {
-        List<Long> knownIds = new ArrayList<>();
+        List<EndpointId> knownIds = new ArrayList<>();
         for (int number = 1; number <= known; number++) {
-            knownIds.add(endpoint(number, EndpointPhase.READY).numericId());
+            knownIds.add(endpoint(number, EndpointPhase.READY).id());
         }
         memory.checkRoom(list, knownIds::contains, known);
     }
@@ -55,6 +57,18 @@
         assertTrue(failure.getMessage(), failure.getMessage().contains("4 endpoints, over the limit of 3"));
     }
 
+    /** Guards against lists that hold more than there is room for: endpoints whose ids end alike counted as one. */
+    @Test
+    public void endpointsWhoseIdsEndAlikeAreCountedEach() {
+        List<DiscoveredEndpoint> endpoints = new ArrayList<>();
+        for (String id : List.of("s-0000000a", "t-0000000a", "u-0000000a", "v-0000000a")) {
+            endpoints.add(new DiscoveredEndpoint(
+                    EndpointId.of(id), "127.0.0.1", 9000, "a", "c", 0, EndpointPhase.READY, 1, 0));
+        }
+
+        assertThrows(EndpointListFormatException.class, () -> check(new EndpointList(1, true, endpoints), 0));
+    }
+
     @Test
     public void changeMayReplaceEndpointsAtTheLimit() throws EndpointListFormatException {
         List<DiscoveredEndpoint> replacement =
--- a/node/src/test/java/fawnlb/server/StartWithoutDiscoveryTest.java
+++ b/node/src/test/java/fawnlb/server/StartWithoutDiscoveryTest.java
@@ -16,6 +16,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.snapshot.Snapshot;
@@ -72,7 +73,7 @@
     private static DiscoveredEndpoint endpoint(int number, String address) {
         int colon = address.lastIndexOf(':');
         return new DiscoveredEndpoint(
-                "s-0000000" + number,
+                EndpointId.of("s-0000000" + number),
                 address.substring(0, colon),
                 Integer.parseInt(address.substring(colon + 1)),
                 "a",
@@ -189,6 +190,7 @@
                                 .get(0)
                                 .endpoint()
                                 .id()
+                                .name()
                                 .equals("s-00000002"));
                 assertTrue(discovery.requestLine(0).contains("from=0"));
                 int requestsBefore = restored.requests.size();
--- a/node/src/test/java/fawnlb/snapshot/SnapshotCompatibilityTest.java
+++ b/node/src/test/java/fawnlb/snapshot/SnapshotCompatibilityTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.snapshot.Snapshot.Entry;
@@ -26,7 +27,7 @@
 
     private static final Entry READY = new Entry(
             new DiscoveredEndpoint(
-                    "s-5be2a07c",
+                    EndpointId.of("s-5be2a07c"),
                     "127.0.0.1",
                     9001,
                     "regina-east",
@@ -39,7 +40,7 @@
             SAVED_AT_MILLIS - 750);
     private static final Entry DRAINING = new Entry(
             new DiscoveredEndpoint(
-                    "s-0000000a",
+                    EndpointId.of("s-0000000a"),
                     "10.20.30.40",
                     65_535,
                     "regina-west",
@@ -51,7 +52,8 @@
             SAVED_AT_MILLIS - 2000,
             0);
     private static final Entry IPV6 = new Entry(
-            new DiscoveredEndpoint("canary-\u00e9", "[2001:db8::1]", 80, "", "", -1, EndpointPhase.READY, 100, 7),
+            new DiscoveredEndpoint(
+                    EndpointId.of("canary-\u00e9"), "[2001:db8::1]", 80, "", "", -1, EndpointPhase.READY, 100, 7),
             0,
             SAVED_AT_MILLIS - 1);
 
@@ -71,8 +73,7 @@
         assertEquals(9_007_199_254_740_993L, snapshot.revision());
         assertEquals(3, snapshot.entries().size());
         Entry ready = snapshot.entries().get(0);
-        assertEquals("s-5be2a07c", ready.endpoint().id());
-        assertEquals(0x5be2a07cL, ready.endpoint().numericId());
+        assertEquals("s-5be2a07c", ready.endpoint().id().name());
         assertEquals("127.0.0.1", ready.endpoint().host());
         assertEquals(9001, ready.endpoint().port());
         assertEquals("regina-east", ready.endpoint().zone());
--- a/node/src/test/java/fawnlb/snapshot/SnapshotRecorderTest.java
+++ b/node/src/test/java/fawnlb/snapshot/SnapshotRecorderTest.java
@@ -5,6 +5,7 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.LoadBalancerEvent.ResponseStarted;
@@ -61,7 +62,7 @@
     }
 
     private static DiscoveredEndpoint endpoint(String id, EndpointPhase phase, long upSinceMillis) {
-        return new DiscoveredEndpoint(id, "127.0.0.1", 9000, "a", "k", 0, phase, 1, upSinceMillis);
+        return new DiscoveredEndpoint(EndpointId.of(id), "127.0.0.1", 9000, "a", "k", 0, phase, 1, upSinceMillis);
     }
 
     private void receiveFullList(DiscoveredEndpoint... endpoints) {
@@ -73,7 +74,7 @@
     }
 
     private void respond(DiscoveredEndpoint endpoint) {
-        recorder.onEvent(timers.now(), new ResponseStarted(1, 0, endpoint.numericId(), 1));
+        recorder.onEvent(timers.now(), new ResponseStarted(1, 0, endpoint.id(), 1));
     }
 
     private List<Snapshot.Entry> savedEntries() throws IOException {
@@ -82,7 +83,7 @@
 
     private List<String> savedIds() throws IOException {
         return savedEntries().stream()
-                .map(entry -> entry.endpoint().id())
+                .map(entry -> entry.endpoint().id().name())
                 .sorted()
                 .toList();
     }
@@ -104,6 +105,17 @@
         assertEquals(101, savedIds().size());
     }
 
+    /** Guards against a start that lacks endpoints: of those whose ids end alike, one was written. */
+    @Test
+    public void endpointsWhoseIdsEndAlikeAreAllWritten() throws IOException {
+        receiveFullList(endpoint("s-0000000a"), endpoint("t-0000000a"), endpoint("u-0000000a"));
+        receiveChanges(endpoint("t-0000000a", EndpointPhase.GONE, 0));
+        timers.advance(0);
+        runDiskTasks();
+
+        assertEquals(List.of("s-0000000a", "u-0000000a"), savedIds());
+    }
+
     @Test
     public void responsesAreWrittenAtTheRefreshInterval() throws IOException {
         receiveFullList(endpoint("a"));
--- a/node/src/test/java/fawnlb/snapshot/SnapshotStoreTest.java
+++ b/node/src/test/java/fawnlb/snapshot/SnapshotStoreTest.java
@@ -41,7 +41,9 @@
     }
 
     private static String firstId(Snapshot snapshot) {
-        return snapshot == null ? null : snapshot.entries().get(0).endpoint().id();
+        return snapshot == null
+                ? null
+                : snapshot.entries().get(0).endpoint().id().name();
     }
 
     private static List<Case> cases() throws IOException {
--- a/node/src/test/java/fawnlb/snapshot/TestSnapshots.java
+++ b/node/src/test/java/fawnlb/snapshot/TestSnapshots.java
@@ -1,5 +1,6 @@
 package fawnlb.snapshot;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.EndpointPhase;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.snapshot.Snapshot.Entry;
@@ -21,7 +22,15 @@
 
     private static Entry entry(long savedAtMillis, String id) {
         DiscoveredEndpoint endpoint = new DiscoveredEndpoint(
-                id, "127.0.0.1", 9000, "regina-east", "full-rate", 3, EndpointPhase.READY, 1.5, savedAtMillis - 5);
+                EndpointId.of(id),
+                "127.0.0.1",
+                9000,
+                "regina-east",
+                "full-rate",
+                3,
+                EndpointPhase.READY,
+                1.5,
+                savedAtMillis - 5);
         return new Entry(endpoint, savedAtMillis, savedAtMillis - 7);
     }
 }
--- a/node/src/test/java/fawnlb/stream/ProgressDetectorTest.java
+++ b/node/src/test/java/fawnlb/stream/ProgressDetectorTest.java
@@ -7,6 +7,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import java.util.List;
 import org.junit.Test;
 
@@ -174,7 +175,8 @@
 
     @Test
     public void answerThatIsNotAStreamOfEventsHasNoWaitForEvents() {
-        ResponseStream whole = harness.open(new StreamParameters(1, 0, startNanos + 90 * SECOND_NANOS, false, false));
+        ResponseStream whole = harness.open(
+                new StreamParameters(EndpointId.ofNumber(1), 0, startNanos + 90 * SECOND_NANOS, false, false));
         whole.onHead(startNanos, true);
         for (int second = 1; second < 30; second++) {
             whole.onPartialData(startNanos + second * SECOND_NANOS, EventProgress.NONE);
--- a/node/src/test/java/fawnlb/stream/SilenceDetectorTest.java
+++ b/node/src/test/java/fawnlb/stream/SilenceDetectorTest.java
@@ -10,6 +10,7 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
+import fawnlb.decision.EndpointId;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -252,8 +253,8 @@
     @Test
     public void firstEventIsAwaitedToTheDeadlineWhenNoTimeIsLeftForRetry() {
         harness.trainSteadyBackends(5);
-        ResponseStream stream = harness.open(
-                new StreamParameters(3, StreamHarness.PROMPT_TOKENS, startNanos + SECOND_NANOS, true, true));
+        ResponseStream stream = harness.open(new StreamParameters(
+                EndpointId.ofNumber(3), StreamHarness.PROMPT_TOKENS, startNanos + SECOND_NANOS, true, true));
 
         wakeUntil(stream, startNanos + SECOND_NANOS);
 
@@ -294,8 +295,8 @@
             StreamHarness trained = new StreamHarness();
             trained.trainBackend(1, 40, 100, new Random(5));
             for (StreamHarness either : List.of(untrained, trained)) {
-                ResponseStream stream =
-                        either.open(new StreamParameters(1, promptTokens, startNanos + 8 * SECOND_NANOS, true, true));
+                ResponseStream stream = either.open(new StreamParameters(
+                        EndpointId.ofNumber(1), promptTokens, startNanos + 8 * SECOND_NANOS, true, true));
 
                 assertEquals("tokens: " + promptTokens, ResponseStream.NEVER, stream.wakeAtNanos());
             }
--- a/node/src/test/java/fawnlb/stream/SlowClientTest.java
+++ b/node/src/test/java/fawnlb/stream/SlowClientTest.java
@@ -5,6 +5,7 @@
 import static fawnlb.stream.StreamHarness.wakeUntil;
 import static org.junit.Assert.assertEquals;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.memory.MemoryBudget;
 import fawnlb.memory.MemoryObserver;
 import fawnlb.memory.MemoryUse;
@@ -108,7 +109,8 @@
 
     @Test
     public void bufferedResponseOverLimitIsEvicted() {
-        ResponseStream stream = harness.open(new StreamParameters(1, 0, startNanos + SECOND_NANOS, true, false));
+        ResponseStream stream =
+                harness.open(new StreamParameters(EndpointId.ofNumber(1), 0, startNanos + SECOND_NANOS, true, false));
         stream.onHead(startNanos, true);
 
         stream.setBufferedBytes(1000);
--- a/node/src/test/java/fawnlb/stream/StreamHarness.java
+++ b/node/src/test/java/fawnlb/stream/StreamHarness.java
@@ -1,5 +1,6 @@
 package fawnlb.stream;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.memory.MemoryBudget;
 import java.util.ArrayList;
 import java.util.List;
@@ -55,12 +56,14 @@
 
     /** Opens a stream of an attempt after which another one could follow. */
     ResponseStream openStream(long backend) {
-        return open(new StreamParameters(backend, PROMPT_TOKENS, nowNanos + 8 * SECOND_NANOS, true, true));
+        return open(new StreamParameters(
+                EndpointId.ofNumber(backend), PROMPT_TOKENS, nowNanos + 8 * SECOND_NANOS, true, true));
     }
 
     /** Opens a stream of an attempt that is the last of its request. */
     ResponseStream openLastAttemptsStream(long backend) {
-        return open(new StreamParameters(backend, PROMPT_TOKENS, nowNanos + 8 * SECOND_NANOS, false, true));
+        return open(new StreamParameters(
+                EndpointId.ofNumber(backend), PROMPT_TOKENS, nowNanos + 8 * SECOND_NANOS, false, true));
     }
 
     /** Opens a stream whose first event has been read by the client. */
--- a/node/src/test/java/fawnlb/stream/StreamRegistryTest.java
+++ b/node/src/test/java/fawnlb/stream/StreamRegistryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 
+import fawnlb.decision.EndpointId;
 import java.util.List;
 import org.junit.Test;
 
@@ -12,7 +13,7 @@
     public void removedBackendIsDroppedWithItsLastStream() {
         ResponseStream stream = harness.openStreamingStream(1);
 
-        harness.registry.onBackendRemoved(1);
+        harness.registry.onBackendRemoved(EndpointId.ofNumber(1));
         assertEquals(1, harness.registry.statistics().size());
 
         stream.onBackendEnded(EndReason.CONNECTION_LOST);
