Order points at one ring position by their endpoints' ids, not by who joined first

What callers would see: keys of a session that go to one endpoint at one node and to another at the next, where points of two endpoints are at one position of the ring. That is so for all 200 points of two ids whose hashes are equal, and for single points about once in hundreds of large rings.

Cause: policy.HashRing keeps the number of an endpoint in the low bits of its points and orders equal positions by it. Numbers are given in the order of arrival and used again after a removal, so that the order depended on the instance's history.

Change: points at one position are in the order of their endpoints' ids, reversed at every second position, so that endpoints with all points in common share the keys. The search for a key's first point no longer depends on the order within a position.

HashRingTest.membersOfOneSeedAreInTheSameOrderAtEachRing and EndpointPlacementTest.endpointsWithOneRingSeedStayTwoAndShareTheKeys fail without it and pass with it.

--- a/node/src/main/java/fawnlb/policy/EndpointTable.java
+++ b/node/src/main/java/fawnlb/policy/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +27,7 @@
 
     private final int localZone;
     private final Map<EndpointId, EndpointState> byId = new HashMap<>();
-    private final HashRing<EndpointState> ring = new HashRing<>();
+    private final HashRing<EndpointState> ring = new HashRing<>(Comparator.comparing(endpoint -> endpoint.id));
     private final List<EndpointState> ready = new ArrayList<>();
     /** Room for one figure of each ready endpoint, kept so that no request allocates it. */
     private double[] figures = new double[0];
--- a/node/src/main/java/fawnlb/policy/HashRing.java
+++ b/node/src/main/java/fawnlb/policy/HashRing.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Predicate;
@@ -14,8 +15,11 @@
  *
  * <p>The points are held in one sorted array, with an endpoint's number in the low bits of each, so that a ring of
  * thousands of endpoints takes a few megabytes without objects. Adding and removing endpoints merges or drops their own
- * points in one pass, without sorting the others. Where two points agree in all bits but those of the number, which
- * 640,000 points do once in hundreds of rings, the lower number comes first.
+ * points in one pass, without sorting the others.
+ *
+ * <p>The order of points depends on the endpoints alone, not on the order in which they joined, so that all instances
+ * agree on it. Points at one position are in the order of their endpoints at half of all positions, and in the reverse
+ * order at the others: endpoints that have all of their points in common share the keys.
  *
  * @param <T> what an endpoint is represented by
  */
@@ -35,6 +39,16 @@
     private final List<T> endpoints = new ArrayList<>();
 
     private final Deque<Integer> freeNumbers = new ArrayDeque<>();
+    private final Comparator<? super T> endpointOrder;
+
+    /**
+     * Creates an empty ring.
+     *
+     * @param endpointOrder orders endpoints whose points are at one position, in the same way at every instance
+     */
+    HashRing(Comparator<? super T> endpointOrder) {
+        this.endpointOrder = endpointOrder;
+    }
 
     /** The number of points on the ring. */
     int size() {
@@ -43,29 +57,45 @@
 
     /** Returns the endpoint that the point at this index belongs to. */
     T endpointAt(int index) {
-        return endpoints.get((int) (points[index] & NUMBER_MASK));
+        return endpointOf(points[index]);
     }
 
     /** Returns the index of the first point at or clockwise from the key's hash; the ring must not be empty. */
     int firstIndexFor(long key) {
-        long hash = SplitMix64.mix(key) & ~NUMBER_MASK;
-        int found = Arrays.binarySearch(points, 0, size, hash);
-        int index = found >= 0 ? found : -1 - found;
-        return index == size ? 0 : index;
+        long position = positionOf(SplitMix64.mix(key));
+        int low = 0;
+        int high = size;
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (points[middle] < position) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return low == size ? 0 : low;
     }
 
-    /** Adds endpoints that are not on the ring yet; their points are derived from their ids. */
-    void add(List<T> joined, ToLongFunction<T> id) {
+    private static long positionOf(long pointOrHash) {
+        return pointOrHash & ~NUMBER_MASK;
+    }
+
+    /**
+     * Adds endpoints that are not on the ring yet.
+     *
+     * @param ringSeed the number of an endpoint from which its points are derived
+     */
+    void add(List<T> joined, ToLongFunction<T> ringSeed) {
         long[] added = new long[joined.size() * POINTS_PER_ENDPOINT];
         int count = 0;
         for (T endpoint : joined) {
             long number = allocateNumber(endpoint);
-            long seed = SplitMix64.mix(id.applyAsLong(endpoint));
+            long seed = SplitMix64.mix(ringSeed.applyAsLong(endpoint));
             for (int i = 0; i < POINTS_PER_ENDPOINT; i++) {
-                added[count++] = SplitMix64.mix(seed + i) & ~NUMBER_MASK | number;
+                added[count++] = positionOf(SplitMix64.mix(seed + i)) | number;
             }
         }
-        Arrays.sort(added);
+        sort(added);
         merge(added);
     }
 
@@ -82,6 +112,32 @@
         return endpoints.size() - 1;
     }
 
+    private void sort(long[] added) {
+        Arrays.sort(added);
+        for (int i = 1; i < added.length; i++) {
+            for (int j = i; j > 0 && isAfter(added[j - 1], added[j]); j--) {
+                long later = added[j - 1];
+                added[j - 1] = added[j];
+                added[j] = later;
+            }
+        }
+    }
+
+    /** The order of all points: by position, and by their endpoints at one position. */
+    private boolean isAfter(long point, long other) {
+        long position = positionOf(point);
+        if (position != positionOf(other)) {
+            return point > other;
+        }
+        int order = endpointOrder.compare(endpointOf(point), endpointOf(other));
+        boolean isReversed = (position >>> NUMBER_BITS & 1) != 0;
+        return isReversed ? order < 0 : order > 0;
+    }
+
+    private T endpointOf(long point) {
+        return endpoints.get((int) (point & NUMBER_MASK));
+    }
+
     /** Merges sorted points into the others in place, from the end to the start. */
     private void merge(long[] added) {
         int newSize = size + added.length;
@@ -91,8 +147,9 @@
         int oldIndex = size - 1;
         int addedIndex = added.length - 1;
         for (int targetIndex = newSize - 1; addedIndex >= 0; targetIndex--) {
-            points[targetIndex] =
-                    oldIndex >= 0 && points[oldIndex] > added[addedIndex] ? points[oldIndex--] : added[addedIndex--];
+            points[targetIndex] = oldIndex >= 0 && isAfter(points[oldIndex], added[addedIndex])
+                    ? points[oldIndex--]
+                    : added[addedIndex--];
         }
         size = newSize;
     }
--- a/node/src/test/java/fawnlb/policy/EndpointPlacementTest.java
+++ b/node/src/test/java/fawnlb/policy/EndpointPlacementTest.java
@@ -2,6 +2,7 @@
 
 import static fawnlb.policy.LoadBalancerHarness.idempotentSettings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fawnlb.decision.AttemptOutcome;
 import fawnlb.decision.Endpoint;
@@ -94,4 +95,18 @@
             }
         }
     }
+
+    /** Two ids may have one hash: their endpoints stay two, share the keys, and their order is the same everywhere. */
+    @Test
+    void endpointsWithOneRingSeedStayTwoAndShareTheKeys() {
+        EndpointId first = new EndpointId("s-1", 77);
+        EndpointId second = new EndpointId("s-2", 77);
+        List<EndpointId> ids = List.of(first, second, new EndpointId("s-3", 78));
+
+        List<EndpointId> endpoints = endpointsOfKeys(instance(ids));
+
+        assertEquals(endpoints, endpointsOfKeys(instance(reversed(ids))));
+        assertTrue(Collections.frequency(endpoints, first) > KEYS / 8, endpoints::toString);
+        assertTrue(Collections.frequency(endpoints, second) > KEYS / 8, endpoints::toString);
+    }
 }
--- a/node/src/test/java/fawnlb/policy/HashRingTest.java
+++ b/node/src/test/java/fawnlb/policy/HashRingTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -12,7 +13,7 @@
 
 public class HashRingTest {
     private final SplittableRandom random = new SplittableRandom(5);
-    private final HashRing<Long> ring = new HashRing<>();
+    private final HashRing<Long> ring = new HashRing<>(Comparator.naturalOrder());
     private final Set<Long> members = new HashSet<>();
 
     private void add(int count) {
@@ -52,6 +53,32 @@
         assertEquals(List.copyOf(expected.values()), order);
     }
 
+    /** All points of these members are at the same positions, in an order that does not depend on who came first. */
+    @Test
+    public void membersOfOneSeedAreInTheSameOrderAtEachRing() {
+        List<Long> order = orderAfterJoins(List.of(1L), List.of(2L), List.of(3L), List.of(4L));
+        assertEquals(order, orderAfterJoins(List.of(4L, 3L, 2L, 1L)));
+        assertEquals(order, orderAfterJoins(List.of(2L, 4L), List.of(3L, 1L)));
+        Set<Long> firstOnes = new HashSet<>();
+        for (int i = 0; i < order.size(); i += 4) {
+            firstOnes.add(order.get(i));
+        }
+        assertEquals(Set.of(1L, 4L), firstOnes);
+    }
+
+    @SafeVarargs
+    private static List<Long> orderAfterJoins(List<Long>... joins) {
+        HashRing<Long> ring = new HashRing<>(Comparator.naturalOrder());
+        for (List<Long> joined : joins) {
+            ring.add(joined, id -> 9);
+        }
+        List<Long> order = new ArrayList<>();
+        for (int i = 0; i < ring.size(); i++) {
+            order.add(ring.endpointAt(i));
+        }
+        return order;
+    }
+
     @Test
     public void joinsAndDeparturesKeepTheOrderOfASortedMap() {
         add(1);
