Repeat keyed requests in the group that their endpoint had when the attempt started

What callers would see: a request of a class with `effect` keyed and `group` zone or cell runs in two groups, where discovery lists its endpoint with another zone or cell while the attempt is out.

Cause: policy.IdempotencyRules.sharesKeys compared with the zone and cell of the first attempt's EndpointState, which EndpointTable.copy overwrites with each list. The repeat went to the group that the endpoint has now.

Evidence: ChangedGroupTest, both tests red before ("b, then c ==> expected: <true> but was: <false>": b had moved to c's zone while it had the request).

Change: policy.Attempt keeps the zone and the cell that its endpoint had at its start. An endpoint whose group has changed since counts as a member of its new group, not as the one that ran the request.

--- a/node/src/main/java/fawnlb/policy/Attempt.java
+++ b/node/src/main/java/fawnlb/policy/Attempt.java
@@ -4,6 +4,10 @@
 final class Attempt {
     final EndpointState endpoint;
     final long startedAt;
+    /** The endpoint's zone and cell when the attempt started: the list may have others by the attempt's end. */
+    final int zone;
+
+    final int cell;
     boolean inFlight = true;
     /** Whether the attempt may have taken effect; unknown, and so true, until it has ended. */
     boolean mayHaveRun = true;
@@ -18,5 +22,7 @@
     Attempt(EndpointState endpoint, long startedAt) {
         this.endpoint = endpoint;
         this.startedAt = startedAt;
+        this.zone = endpoint.zone;
+        this.cell = endpoint.cell;
     }
 }
--- a/node/src/main/java/fawnlb/policy/IdempotencyRules.java
+++ b/node/src/main/java/fawnlb/policy/IdempotencyRules.java
@@ -29,19 +29,19 @@
         }
         boolean isKeyInWindow = now - first.startedAt < requestClass.idempotencyWindowNanos();
         return isKeyInWindow
-                && sharesKeys(first.endpoint, endpoint, requestClass)
+                && sharesKeys(first, endpoint, requestClass)
                 && (requestClass.idempotencyScope() == IdempotencyScope.ALL || !request.lostConnectionTo(endpoint));
     }
 
-    /** Whether two endpoints drop repeats of each other's requests. */
-    private static boolean sharesKeys(EndpointState first, EndpointState other, RequestClass requestClass) {
-        if (first == other) {
-            return true;
-        }
+    /** Whether an endpoint drops repeats of a request that has run at the endpoint of this attempt. */
+    private static boolean sharesKeys(Attempt first, EndpointState endpoint, RequestClass requestClass) {
+        boolean isSameEndpoint =
+                first.endpoint == endpoint && first.zone == endpoint.zone && first.cell == endpoint.cell;
         return switch (requestClass.idempotencyScope()) {
             case ALL -> true;
-            case ZONE -> isSameGroup(first.zone, other.zone);
-            case CELL -> isSameGroup(first.zone, other.zone) && isSameGroup(first.cell, other.cell);
+            case ZONE -> isSameEndpoint || isSameGroup(first.zone, endpoint.zone);
+            case CELL ->
+                isSameEndpoint || isSameGroup(first.zone, endpoint.zone) && isSameGroup(first.cell, endpoint.cell);
         };
     }
 
