Remember by its id an endpoint whose connection broke, when it leaves the list and returns

What callers would see: a request under a key of one zone or cell runs twice, in a process that came up under the id of the one that had gone. The rule is in place since the connection of an attempt breaks; it did not hold where the id leaves the list and comes back while the request is at another endpoint.

Cause: policy.ActiveRequest.lostConnectionTo compared EndpointState objects. EndpointTable drops that of an endpoint that is gone and has no attempts, and an id that returns gets a new one.

Evidence: ChangedGroupTest.endpointThatComesBackIsStillTheOneWhoseConnectionBroke, red before (a third attempt, at the endpoint whose connection had broken), green now.

Change: the ids are compared.

--- a/node/src/main/java/fawnlb/policy/ActiveRequest.java
+++ b/node/src/main/java/fawnlb/policy/ActiveRequest.java
@@ -1,5 +1,6 @@
 package fawnlb.policy;
 
+import fawnlb.decision.EndpointId;
 import fawnlb.decision.LoadBalancerEvent.RequestArrived;
 import fawnlb.decision.LoadBalancerSettings.RequestClass;
 import java.util.ArrayList;
@@ -96,10 +97,10 @@
         return false;
     }
 
-    /** Whether the connection of an attempt on this endpoint broke. */
-    boolean lostConnectionTo(EndpointState endpoint) {
+    /** Whether the connection of an attempt on an endpoint of this id broke, be it that it has left the list since. */
+    boolean lostConnectionTo(EndpointId id) {
         for (int i = 0; i < attempts.size(); i++) {
-            if (attempts.get(i).endpoint == endpoint && attempts.get(i).connectionLost) {
+            if (attempts.get(i).connectionLost && attempts.get(i).endpoint.id.equals(id)) {
                 return true;
             }
         }
--- a/node/src/main/java/fawnlb/policy/IdempotencyRules.java
+++ b/node/src/main/java/fawnlb/policy/IdempotencyRules.java
@@ -30,7 +30,7 @@
         boolean isKeyInWindow = now - first.startedAt < requestClass.idempotencyWindowNanos();
         return isKeyInWindow
                 && sharesKeys(first, endpoint, requestClass)
-                && (requestClass.idempotencyScope() == IdempotencyScope.ALL || !request.lostConnectionTo(endpoint));
+                && (requestClass.idempotencyScope() == IdempotencyScope.ALL || !request.lostConnectionTo(endpoint.id));
     }
 
     /** Whether an endpoint drops repeats of a request that has run at the endpoint of this attempt. */
--- a/node/src/test/java/fawnlb/policy/ChangedGroupTest.java
+++ b/node/src/test/java/fawnlb/policy/ChangedGroupTest.java
@@ -1,6 +1,7 @@
 package fawnlb.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import fawnlb.decision.AttemptOutcome;
 import fawnlb.decision.Endpoint;
@@ -9,6 +10,7 @@
 import fawnlb.decision.EndpointUpdateKind;
 import fawnlb.decision.Idempotency;
 import fawnlb.decision.IdempotencyScope;
+import fawnlb.decision.LoadBalancerAction.FailRequest;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -69,4 +71,26 @@
         }
         assertEquals(SESSIONS, repeats);
     }
+
+    /**
+     * Guards against requests that run twice in a process that was taken for the one that had gone: an endpoint that
+     * left the list and came back was no longer known as one whose connection had broken.
+     */
+    @Test
+    void endpointThatComesBackIsStillTheOneWhoseConnectionBroke() {
+        EndpointId a = EndpointId.of("a");
+        EndpointId b = EndpointId.of("b");
+        LoadBalancerHarness instance = instance(IdempotencyScope.ZONE, ready(a, GROUP), ready(b, GROUP));
+        instance.arrive(0, 9);
+        EndpointId first = instance.lastAttempt().endpointId();
+        instance.endAttempt(instance.lastAttempt(), 0, AttemptOutcome.RESET, false);
+        assertNotEquals(first, instance.lastAttempt().endpointId());
+        instance.updateEndpoints(EndpointUpdateKind.DELTA, ready(first, GROUP).asGone());
+        instance.updateEndpoints(EndpointUpdateKind.DELTA, ready(first, GROUP));
+
+        instance.endAttempt(instance.lastAttempt(), 1, AttemptOutcome.ERROR, false);
+
+        assertEquals(2, instance.startedAttempts().size());
+        assertEquals(1, instance.actionsOf(FailRequest.class).size());
+    }
 }
