Change backends in the message by which the load balancer learns of a list

What callers would see: a request reaches a server by what was decided of another one. Where a list gives an id another address and zone, a keyed request that is repeated in the same moment runs at the new server, though the load balancer still took the id for the former one, of another zone.

Cause: server.EndpointPublisher changed backend.BackendPool at once and sent the list to proxy.RequestProxy as a message. What stood in the proxy's mailbox before it (arrivals, ends of attempts) was decided on the former list and started on the next one's backends. backend.SendGuard does not help: the new backend is neither draining nor removed.

Evidence: EndpointPublisherTest.backendsChangeTogetherWithWhatTheLoadBalancerKnows, which holds the proxy's messages back; red before ("decision: 127.0.0.1:9002" between "update 1" and "update 2").

Change: the message that reports the list changes the backends first. The check for room, which a series of lists may run before that message, counts the ids of the latest list that was accepted (server.ListedEndpointIds; EndpointPublisherTest.roomIsCheckedAgainst...).

--- a/node/src/main/java/fawnlb/backend/BackendPool.java
+++ b/node/src/main/java/fawnlb/backend/BackendPool.java
@@ -106,16 +106,6 @@
         });
     }
 
-    /** Returns whether there is a backend of this id. */
-    public boolean contains(EndpointId id) {
-        return backends.containsKey(id);
-    }
-
-    /** Returns the number of backends. */
-    public int size() {
-        return backends.size();
-    }
-
     @Override
     public Attempt startAttempt(
             EndpointId id,
--- a/node/src/main/java/fawnlb/discovery/EndpointList.java
+++ b/node/src/main/java/fawnlb/discovery/EndpointList.java
@@ -1,6 +1,9 @@
 package fawnlb.discovery;
 
+import fawnlb.decision.EndpointId;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * A list of endpoints from discovery.
@@ -10,6 +13,11 @@
  * @param endpoints the endpoints; one that has left is named with the phase GONE
  */
 public record EndpointList(long revision, boolean complete, List<DiscoveredEndpoint> endpoints) {
+    /** The ids that the list names. */
+    public Set<EndpointId> ids() {
+        return endpoints.stream().map(DiscoveredEndpoint::id).collect(Collectors.toSet());
+    }
+
     /** A list that changes nothing: discovery stands where it stood. */
     static EndpointList unchanged(long revision) {
         return new EndpointList(revision, false, List.of());
--- a/node/src/main/java/fawnlb/proxy/RequestProxy.java
+++ b/node/src/main/java/fawnlb/proxy/RequestProxy.java
@@ -125,10 +125,18 @@
         return arrivedAt + Math.max(0, incoming.timeoutNanos() - CLIENT_TIMEOUT_MARGIN_NANOS);
     }
 
-    /** Passes a change of the endpoint list on to the load balancer. Changes must come in their order. */
+    /**
+     * Passes a change of the endpoint list on to the load balancer. Changes must come in their order.
+     *
+     * @param applyToBackends changes the backends. It runs on the event loop, right before the load balancer learns of
+     *     the change, so that what was decided on one list is not carried out with the backends of another
+     */
     @ThreadSafe
-    public void onEndpointsUpdated(LoadBalancerEvent.EndpointsUpdated update) {
-        mailbox.tellAlways(() -> notifier.report(update));
+    public void onEndpointsUpdated(LoadBalancerEvent.EndpointsUpdated update, Runnable applyToBackends) {
+        mailbox.tellAlways(() -> {
+            applyToBackends.run();
+            notifier.report(update);
+        });
     }
 
     private void admit(ProxiedRequest request) {
--- a/node/src/main/java/fawnlb/server/EndpointPublisher.java
+++ b/node/src/main/java/fawnlb/server/EndpointPublisher.java
@@ -20,7 +20,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Publishes what discovery says of the endpoints: to the snapshot recorder, the backend pool, the request proxy, and
@@ -36,6 +35,7 @@
     private final ReadinessGate readiness;
     private final EndpointMemory memory;
     private final AddressOwners addressOwners = new AddressOwners();
+    private final ListedEndpointIds listedIds = new ListedEndpointIds();
     private final EndpointStartTimes startTimes = new EndpointStartTimes();
     private RequestProxy requestProxy;
     private SnapshotRecorder snapshotRecorder;
@@ -76,7 +76,7 @@
 
     @Override
     public void checkRoom(EndpointList list) throws EndpointListFormatException {
-        memory.checkRoom(list, backends::contains, backends.size());
+        memory.checkRoom(list, listedIds::contains, listedIds.size());
     }
 
     @Override
@@ -87,10 +87,10 @@
         }
         if (list != null) {
             recordStartTimes(kind, list);
-            updateBackends(list);
-            memory.reserve(backends.size());
+            listedIds.update(list);
+            memory.reserve(listedIds.size());
         }
-        requestProxy.onEndpointsUpdated(toEndpointsUpdated(kind, list));
+        requestProxy.onEndpointsUpdated(toEndpointsUpdated(kind, list), () -> updateBackends(list));
         readiness.onDiscoveryUpdate(kind);
     }
 
@@ -107,9 +107,11 @@
     }
 
     private void updateBackends(EndpointList list) {
+        if (list == null) {
+            return;
+        }
         if (list.complete()) {
-            backends.retainOnly(
-                    list.endpoints().stream().map(DiscoveredEndpoint::id).collect(Collectors.toSet()));
+            backends.retainOnly(list.ids());
         }
         for (DiscoveredEndpoint discovered : list.endpoints()) {
             backends.updateBackend(
--- a/node/src/test/java/fawnlb/proxy/LoadBalancerNotifierTest.java
+++ b/node/src/test/java/fawnlb/proxy/LoadBalancerNotifierTest.java
@@ -54,7 +54,7 @@
         mailbox.tell(() -> {});
         assertNotNull(handle);
 
-        harness.proxy.onEndpointsUpdated(new EndpointsUpdated(EndpointUpdateKind.DELTA, 1, List.of()));
+        harness.proxy.onEndpointsUpdated(new EndpointsUpdated(EndpointUpdateKind.DELTA, 1, List.of()), () -> {});
         handle.onClientDisconnected();
         harness.timers.advance(1);
         while (!executor.isEmpty()) {
