Log endpoints whose ids have the same hash, and limit log lines in one place

Ids with equal hashes are two endpoints everywhere, and share their points on the ring. That is not seen from outside but by their smaller shares, so the second one to join is logged with both ids.

backend.CutStreamLog's limit of one line a second is now eventloop.RateLimitedLog, which both use; CutStreamLogTest is as it was.

--- a/node/src/main/java/fawnlb/backend/CutStreamLog.java
+++ b/node/src/main/java/fawnlb/backend/CutStreamLog.java
@@ -1,10 +1,11 @@
 package fawnlb.backend;
 
 import fawnlb.eventloop.EventLoopOnly;
+import fawnlb.eventloop.RateLimitedLog;
 import fawnlb.eventloop.Timers;
 import fawnlb.metrics.LogLine;
 import fawnlb.stream.AttemptEnd;
-import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -13,32 +14,17 @@
  */
 @EventLoopOnly
 final class CutStreamLog {
-    private static final Logger LOG = Logger.getLogger(CutStreamLog.class.getName());
-    private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-    private final Timers timers;
-    private long loggedAtNanos;
-    private int suppressed;
+    private final RateLimitedLog log;
 
     CutStreamLog(Timers timers) {
-        this.timers = timers;
-        this.loggedAtNanos = timers.now() - LOG_INTERVAL_NANOS;
+        this.log = new RateLimitedLog(Logger.getLogger(CutStreamLog.class.getName()), Level.INFO, timers);
     }
 
     /** Records one stream that was cut. */
     void record(String requestId, String backend, AttemptEnd end) {
-        long nowNanos = timers.now();
-        if (nowNanos - loggedAtNanos < LOG_INTERVAL_NANOS) {
-            suppressed++;
-            return;
-        }
-        LOG.info(LogLine.event("stream cut")
+        log.log(() -> LogLine.event("stream cut")
                 .requestId(requestId)
                 .backend(backend)
-                .reason(end.label())
-                .with("suppressed", suppressed)
-                .toString());
-        loggedAtNanos = nowNanos;
-        suppressed = 0;
+                .reason(end.label()));
     }
 }
--- a/node/src/main/java/fawnlb/server/EndpointPublisher.java
+++ b/node/src/main/java/fawnlb/server/EndpointPublisher.java
@@ -35,7 +35,7 @@
     private final ReadinessGate readiness;
     private final EndpointMemory memory;
     private final AddressOwners addressOwners = new AddressOwners();
-    private final ListedEndpointIds listedIds = new ListedEndpointIds();
+    private final ListedEndpointIds listedIds;
     private final EndpointStartTimes startTimes = new EndpointStartTimes();
     private RequestProxy requestProxy;
     private SnapshotRecorder snapshotRecorder;
@@ -61,6 +61,7 @@
         this.timers = timers;
         this.readiness = readiness;
         this.memory = memory;
+        this.listedIds = new ListedEndpointIds(timers);
     }
 
     /**
