Use the entry that started last where a list names an endpoint twice, and log it

What callers would see: sessions of one endpoint that go to one server at one node and to another at the next, where a list names an id at two addresses (the server before and after a restart) and nodes get it in another order. The list's owner sees nothing: one of the two servers idles.

Cause: of entries of one id the last one in the list won (discovery.AddressOwners, and the pool before it), which is right for changes in their order and arbitrary within a whole list.

Evidence: EndpointPublisherTest.entryThatStartedLastCountsWhereAnEndpointIsListedTwice, red before ("update 2: 127.0.0.1:9001", the server that had started earlier), green now.

Change: discovery.DuplicateEntries leaves one entry for each id before anything else reads the list. The latest start counts; among equal starts, and beside a removal, the later entry does, as before. Two addresses of one id are one warning a second. An endpoint's host and port are written in one place now (DiscoveredEndpoint.hostAndPort).

--- a/node/src/main/java/fawnlb/cli/SnapshotPrinter.java
+++ b/node/src/main/java/fawnlb/cli/SnapshotPrinter.java
@@ -36,7 +36,7 @@
         out.printf(
                 ROW_FORMAT,
                 endpoint.id().name(),
-                endpoint.host() + ':' + endpoint.port(),
+                endpoint.hostAndPort(),
                 endpoint.zone(),
                 endpoint.kind(),
                 endpoint.phase().name().toLowerCase(Locale.ROOT),
--- a/node/src/main/java/fawnlb/discovery/AddressOwners.java
+++ b/node/src/main/java/fawnlb/discovery/AddressOwners.java
@@ -40,7 +40,7 @@
     private void take(DiscoveredEndpoint endpoint, Map<EndpointId, DiscoveredEndpoint> resolved) {
         release(endpoint.id());
         DiscoveredEndpoint owner =
-                endpoint.phase() == EndpointPhase.GONE ? null : ownersByAddress.get(addressOf(endpoint));
+                endpoint.phase() == EndpointPhase.GONE ? null : ownersByAddress.get(endpoint.hostAndPort());
         if (owner != null && owner.upSinceMillis() > endpoint.upSinceMillis()) {
             resolved.put(endpoint.id(), gone(endpoint));
             return;
@@ -51,8 +51,8 @@
         }
         resolved.put(endpoint.id(), endpoint);
         if (endpoint.phase() != EndpointPhase.GONE) {
-            ownersByAddress.put(addressOf(endpoint), endpoint);
-            addressesById.put(endpoint.id(), addressOf(endpoint));
+            ownersByAddress.put(endpoint.hostAndPort(), endpoint);
+            addressesById.put(endpoint.id(), endpoint.hostAndPort());
         }
     }
 
@@ -64,10 +64,6 @@
         }
     }
 
-    private static String addressOf(DiscoveredEndpoint endpoint) {
-        return endpoint.host() + ':' + endpoint.port();
-    }
-
     private static DiscoveredEndpoint gone(DiscoveredEndpoint endpoint) {
         return new DiscoveredEndpoint(
                 endpoint.id(),
--- a/node/src/main/java/fawnlb/discovery/DiscoveredEndpoint.java
+++ b/node/src/main/java/fawnlb/discovery/DiscoveredEndpoint.java
@@ -24,4 +24,9 @@
         int cell,
         EndpointPhase phase,
         double size,
-        long upSinceMillis) {}
+        long upSinceMillis) {
+    /** The address as discovery writes it, {@code host:port}. */
+    public String hostAndPort() {
+        return host + ':' + port;
+    }
+}
--- a/node/src/main/java/fawnlb/discovery/EndpointListCodec.java
+++ b/node/src/main/java/fawnlb/discovery/EndpointListCodec.java
@@ -95,7 +95,7 @@
     public static void writeEndpoint(DiscoveredEndpoint endpoint, JsonGenerator generator) throws IOException {
         generator.writeStartObject();
         generator.writeStringField("id", endpoint.id().name());
-        generator.writeStringField("host_port", endpoint.host() + ':' + endpoint.port());
+        generator.writeStringField("host_port", endpoint.hostAndPort());
         generator.writeStringField("locality", endpoint.zone());
         generator.writeStringField("flavor", endpoint.kind());
         generator.writeNumberField("cell", endpoint.cell());
--- a/node/src/main/java/fawnlb/server/EndpointPublisher.java
+++ b/node/src/main/java/fawnlb/server/EndpointPublisher.java
@@ -8,6 +8,7 @@
 import fawnlb.discovery.AddressOwners;
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.discovery.DiscoveryListener;
+import fawnlb.discovery.DuplicateEntries;
 import fawnlb.discovery.EndpointList;
 import fawnlb.discovery.EndpointListFormatException;
 import fawnlb.discovery.EndpointStartTimes;
@@ -35,6 +36,7 @@
     private final ReadinessGate readiness;
     private final EndpointMemory memory;
     private final AddressOwners addressOwners = new AddressOwners();
+    private final DuplicateEntries duplicates;
     private final ListedEndpointIds listedIds;
     private final EndpointStartTimes startTimes = new EndpointStartTimes();
     private RequestProxy requestProxy;
@@ -61,6 +63,7 @@
         this.timers = timers;
         this.readiness = readiness;
         this.memory = memory;
+        this.duplicates = new DuplicateEntries(timers);
         this.listedIds = new ListedEndpointIds(timers);
     }
 
@@ -82,7 +85,7 @@
 
     @Override
     public void onDiscoveryUpdate(EndpointUpdateKind kind, EndpointList listed) {
-        EndpointList list = listed == null ? null : addressOwners.resolve(listed);
+        EndpointList list = listed == null ? null : addressOwners.resolve(duplicates.remove(listed));
         if (snapshotRecorder != null) {
             snapshotRecorder.onDiscoveryUpdate(kind, list);
         }
--- a/node/src/test/java/fawnlb/server/EndpointPublisherTest.java
+++ b/node/src/test/java/fawnlb/server/EndpointPublisherTest.java
@@ -97,7 +97,11 @@
     }
 
     private static DiscoveredEndpoint at(int port, EndpointId id) {
-        return new DiscoveredEndpoint(id, "127.0.0.1", port, "a", "c", 0, EndpointPhase.READY, 1, 0);
+        return at(port, id, 0);
+    }
+
+    private static DiscoveredEndpoint at(int port, EndpointId id, long upSinceMillis) {
+        return new DiscoveredEndpoint(id, "127.0.0.1", port, "a", "c", 0, EndpointPhase.READY, 1, upSinceMillis);
     }
 
     /**
@@ -116,6 +120,18 @@
                 List.of("update 1: 127.0.0.1:9001", "decision: 127.0.0.1:9001", "update 2: 127.0.0.1:9002"), observed);
     }
 
+    /** Guards against backends that depend on the order of a list that names an endpoint twice. */
+    @Test
+    public void entryThatStartedLastCountsWhereAnEndpointIsListedTwice() {
+        DiscoveredEndpoint former = at(9001, ID, 1000);
+        DiscoveredEndpoint present = at(9002, ID, 2000);
+        publisher.onDiscoveryUpdate(EndpointUpdateKind.FULL, list(1, true, former, present));
+        publisher.onDiscoveryUpdate(EndpointUpdateKind.FULL, list(2, true, present, former));
+        runProxyTurns();
+
+        assertEquals(List.of("update 1: 127.0.0.1:9002", "update 2: 127.0.0.1:9002"), observed);
+    }
+
     /** Guards against lists that pass the check one by one, before the first of them has reached the backends. */
     @Test
     public void roomIsCheckedAgainstTheLatestList() throws EndpointListFormatException {
