Keep zones apart whose listed names match one name of the settings

What callers would see: a keyed request of group zone runs in two zones whose names, as discovery lists them, differ only in spaces, commas and underscores ("regina east", "regina_east"), where the settings have one of them, or a third form.

Cause: decision.NameMatcher finds a name of the settings in the simulator's form too, and server.NameNumbers gave each name that matched the number of that one. Two listed names shared a number, which the class's comment rules out.

Evidence: IdempotencyZoneTest with three more rows, all red before ("ran in both zones expected:<[]> but was:<[id-0]>"), the five old ones green; NameNumbersTest.namesThatMatchOneNameOfTheSettingsDoNotShareItsNumber.

Change: the first listed name that matches has the number of the settings, any other one a number of its own, with the warning that is there for unknown names. Only where discovery lists both forms does anything change; which of the two is the instance's own zone then depends on which was listed first, which no rule depends on.

--- a/node/src/main/java/fawnlb/server/NameNumbers.java
+++ b/node/src/main/java/fawnlb/server/NameNumbers.java
@@ -23,6 +23,9 @@
     private final String field;
     private final ToIntFunction<String> settingsIndex;
     private final int settingsCount;
+    /** The names that have the numbers of the settings: several may match one name there. */
+    private final Map<Integer, String> namesOfSettings = new HashMap<>();
+
     private final Map<String, Integer> otherNumbers = new HashMap<>();
 
     /**
@@ -40,11 +43,12 @@
 
     /**
      * Returns the number of a name. It is {@link Endpoint#UNKNOWN} for an empty name where the settings have names, and
-     * for names beyond {@link #MAX_OTHER_NAMES}.
+     * for names beyond {@link #MAX_OTHER_NAMES}. Of names that match the same name of the settings, the first one that
+     * is listed has its number.
      */
     int numberOf(String name) {
         int index = settingsIndex.applyAsInt(name);
-        if (index >= 0) {
+        if (index >= 0 && name.equals(namesOfSettings.computeIfAbsent(index, key -> name))) {
             return index;
         }
         if (name.isEmpty() && settingsCount > 0) {
--- a/node/src/test/java/fawnlb/server/IdempotencyZoneTest.java
+++ b/node/src/test/java/fawnlb/server/IdempotencyZoneTest.java
@@ -23,22 +23,30 @@
 public class IdempotencyZoneTest {
     private static final String FAILING_ZONE = "regina east";
     private static final String OTHER_ZONE = "saskatoon, north";
+    /** The failing zone's name but for a character, and the same in the simulator's form. */
+    private static final String ZONE_WRITTEN_ALIKE = "regina_east";
+
     private static final int SESSIONS = 40;
 
     private final List<String> zonesInSettings;
+    private final String otherZoneName;
 
-    public IdempotencyZoneTest(List<String> zonesInSettings) {
+    public IdempotencyZoneTest(List<String> zonesInSettings, String otherZoneName) {
         this.zonesInSettings = zonesInSettings;
+        this.otherZoneName = otherZoneName;
     }
 
-    @Parameterized.Parameters(name = "settings name {0}")
+    @Parameterized.Parameters(name = "settings name {0}, the other zone is {1}")
     public static List<Object[]> zonesInSettings() {
         return List.of(
-                new Object[] {List.of(FAILING_ZONE, OTHER_ZONE)},
-                new Object[] {List.of("regina_east", "saskatoon__north")},
-                new Object[] {List.of("another zone")},
-                new Object[] {List.of(FAILING_ZONE)},
-                new Object[] {List.of()});
+                new Object[] {List.of(FAILING_ZONE, OTHER_ZONE), OTHER_ZONE},
+                new Object[] {List.of("regina_east", "saskatoon__north"), OTHER_ZONE},
+                new Object[] {List.of("another zone"), OTHER_ZONE},
+                new Object[] {List.of(FAILING_ZONE), OTHER_ZONE},
+                new Object[] {List.of(), OTHER_ZONE},
+                new Object[] {List.of(FAILING_ZONE), ZONE_WRITTEN_ALIKE},
+                new Object[] {List.of(ZONE_WRITTEN_ALIKE), ZONE_WRITTEN_ALIKE},
+                new Object[] {List.of("regina,east"), ZONE_WRITTEN_ALIKE});
     }
 
     private static String ready(int number, FakeHttpServer backend, String zone) {
@@ -55,7 +63,7 @@
                         .endpoints(
                                 ready(1, failing, FAILING_ZONE),
                                 ready(2, sameZone, FAILING_ZONE),
-                                ready(3, otherZone, OTHER_ZONE)))) {
+                                ready(3, otherZone, otherZoneName)))) {
             for (int i = 0; i < SESSIONS; i++) {
                 harness.exchange(keyedRequest(i));
             }
--- a/node/src/test/java/fawnlb/server/NameNumbersTest.java
+++ b/node/src/test/java/fawnlb/server/NameNumbersTest.java
@@ -39,6 +39,17 @@
         assertNotEquals(numbers.numberOf(""), numbers.numberOf("a"));
     }
 
+    /** Guards against zones that are one because their names differ in spaces, commas and underscores alone. */
+    @Test
+    void namesThatMatchOneNameOfTheSettingsDoNotShareItsNumber() {
+        NameNumbers numbers = new NameNumbers("locality", name -> name.matches("north.west") ? 0 : -1, 1);
+        assertEquals(0, numbers.numberOf("north_west"));
+        assertEquals(1, numbers.numberOf("north west"));
+        assertEquals(2, numbers.numberOf("north,west"));
+        assertEquals(0, numbers.numberOf("north_west"));
+        assertEquals(1, numbers.numberOf("north west"));
+    }
+
     @Test
     void tooManyOtherNamesAreNotRemembered() {
         NameNumbers numbers = numbers("a");
