--- a/node/src/main/java/fawnlb/client/DisconnectDetector.java
+++ b/node/src/main/java/fawnlb/client/DisconnectDetector.java
@@ -116,27 +116,27 @@
 
     private boolean readAhead(long maxBytes) {
         PooledByteBuffer pooled = takeReadAheadBuffer();
-        ByteBuffer kept = pooled.getBuffer();
-        kept.compact();
-        boolean disconnected = readUpTo(maxBytes, kept);
-        kept.flip();
-        if (!kept.hasRemaining()) {
+        ByteBuffer buffered = pooled.getBuffer();
+        buffered.compact();
+        boolean disconnected = readUpTo(maxBytes, buffered);
+        buffered.flip();
+        if (!buffered.hasRemaining()) {
             pooled.close();
             connection.setExtraBytes(null);
         }
         return disconnected;
     }
 
-    private boolean readUpTo(long maxBytes, ByteBuffer kept) {
+    private boolean readUpTo(long maxBytes, ByteBuffer buffered) {
         int count = 1;
         for (long total = 0; count > 0 && total < maxBytes; total += count) {
-            if (!kept.hasRemaining()) {
+            if (!buffered.hasRemaining()) {
                 // A client sends one request at a time. From one that sends this much, only the close is of interest.
                 hasSentTooMuch = true;
                 exchange.setPersistent(false);
-                kept.clear();
+                buffered.clear();
             }
-            count = read(hasSentTooMuch ? DISCARD_BUFFER.get().clear() : kept);
+            count = read(hasSentTooMuch ? DISCARD_BUFFER.get().clear() : buffered);
         }
         return count < 0;
     }
--- a/node/src/main/java/fawnlb/memory/MemoryObserver.java
+++ b/node/src/main/java/fawnlb/memory/MemoryObserver.java
@@ -1,17 +1,17 @@
 package fawnlb.memory;
 
-/** Is told when a {@link MemoryBudget} has no room. */
+/** Is notified when a {@link MemoryBudget} has no room. */
 public interface MemoryObserver {
     /** An observer that does nothing. */
     MemoryObserver NONE = new MemoryObserver() {
         @Override
         public void onRefused(MemoryUse use, long requestedBytes) {
-            // Nobody is to be told.
+            // Nobody is notified.
         }
 
         @Override
         public void onReclaimed(MemoryUse use) {
-            // Nobody is to be told.
+            // Nobody is notified.
         }
     };
 
--- a/node/src/main/java/fawnlb/translation/BodyTranslator.java
+++ b/node/src/main/java/fawnlb/translation/BodyTranslator.java
@@ -5,8 +5,7 @@
 import java.util.List;
 
 /** Translates a response that is one JSON object, at its end. */
-final class BodyTranslator extends ResponseTranslator {
-    private final ResponseBody body = new ResponseBody();
+final class BodyTranslator extends WholeBodyTranslator {
     private final ResponseDecoder decoder;
     private final ResponseEncoder encoder;
 
@@ -15,26 +14,10 @@
         this.encoder = encoder;
     }
 
-    @Override
-    public ByteBuffer feed(ByteBuffer bytes) throws IOException {
-        body.add(bytes);
-        return ByteBuffer.allocate(0);
-    }
-
     @Override
     public ByteBuffer finish() throws IOException {
-        List<ResponseDelta> deltas = decoder.decodeBody(body.toByteArray());
+        List<ResponseDelta> deltas = decoder.decodeBody(bodyBytes());
         deltas.forEach(this::recordDelta);
         return utf8(encoder.encodeBody(deltas));
     }
-
-    @Override
-    public int bufferedBytes() {
-        return body.size();
-    }
-
-    @Override
-    public long heapBytes() {
-        return body.heapBytes();
-    }
 }
--- a/node/src/test/java/fawnlb/client/ClientConnectionTrackerTest.java
+++ b/node/src/test/java/fawnlb/client/ClientConnectionTrackerTest.java
@@ -180,7 +180,7 @@
     public void partialRequestHeadIsClosedAtHeadTimeout() throws Exception {
         try (Socket client = server.connect()) {
             StreamConnection connection = server.trackNext();
-            // The check itself reads the head's beginning, since the connection has been idle for long enough.
+            // The check itself reads the first bytes of the head, since the connection has been idle for long enough.
             server.sendUnread(client, "GET / HT", () -> {
                 server.advanceAndCheckTimeouts(IDLE_TIMEOUT_NANOS);
                 assertTrue(connection.isOpen());
--- a/node/src/test/java/fawnlb/client/ClientExchangeTest.java
+++ b/node/src/test/java/fawnlb/client/ClientExchangeTest.java
@@ -79,7 +79,7 @@
         }
     }
 
-    /** Guards against requests that are sent on after their client has closed behind bytes that nobody had read. */
+    /** Guards against requests that are forwarded after their client has closed behind bytes that nobody had read. */
     @Test
     public void closeBehindMuchUnreadDataIsDetectedByOneCheck() throws Exception {
         CountDownLatch received = new CountDownLatch(1);
--- a/node/src/test/java/fawnlb/discovery/DuplicateEntriesTest.java
+++ b/node/src/test/java/fawnlb/discovery/DuplicateEntriesTest.java
@@ -45,7 +45,7 @@
         assertEquals(List.of(present, other), remove(present, other, former));
     }
 
-    /** Changes are told in their order, and a removal need not say when the endpoint had started. */
+    /** Changes are listed in their order, and a removal need not say when the endpoint had started. */
     @Test
     void laterEntryCountsAmongThoseOfOneStartAndAfterARemoval() {
         DiscoveredEndpoint ready = ready("a", 1, 1000);
--- a/node/src/test/java/fawnlb/server/EndpointPublisherTest.java
+++ b/node/src/test/java/fawnlb/server/EndpointPublisherTest.java
@@ -106,7 +106,7 @@
 
     /**
      * Guards against requests that reach one server by what was decided of another one: the backends had the next list
-     * before the load balancer did, and a decision in between went to whoever had taken over the id.
+     * before the load balancer did, and a decision in between went to the server that had taken over the id.
      */
     @Test
     public void backendsChangeTogetherWithWhatTheLoadBalancerKnows() {
--- a/node/src/test/java/fawnlb/translation/EventEndDetectorTest.java
+++ b/node/src/test/java/fawnlb/translation/EventEndDetectorTest.java
@@ -9,11 +9,11 @@
 import org.junit.Test;
 
 public class EventEndDetectorTest {
-    private static final String[] PIECES = {
+    private static final String[] FRAGMENTS = {
         "data", "data:", ": ", "x", "\n", "\r", "\r\n", "event: a", "dat", "database:"
     };
     private static final int STREAMS = 20_000;
-    private static final int MAX_PIECES = 12;
+    private static final int MAX_FRAGMENTS = 12;
 
     private static ByteBuffer bytes(String text) {
         return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
@@ -25,8 +25,8 @@
         Random random = new Random(1);
         for (int i = 0; i < STREAMS; i++) {
             StringBuilder stream = new StringBuilder();
-            for (int piece = random.nextInt(MAX_PIECES); piece >= 0; piece--) {
-                stream.append(PIECES[random.nextInt(PIECES.length)]);
+            for (int fragment = random.nextInt(MAX_FRAGMENTS); fragment >= 0; fragment--) {
+                stream.append(FRAGMENTS[random.nextInt(FRAGMENTS.length)]);
             }
             assertSameEnd(stream.toString());
         }
