Use the readable entries of a list of which one entry can't be read

What callers saw: a node that starts while one entry of discovery's list has a field of the wrong type ("size":"x" at one of four servers) serves nobody, and a running one follows no change any more. The log had the parser's sentence at INFO, which named neither entry nor field.

Cause: discovery.EndpointListCodec read all entries in one go; the first value of the wrong type ended the list.

Evidence: DiscoveryUpdateTest.entryThatCannotBeReadLeavesTheOthersServing, red on ("not within the timeout: the readable entry serves"), green now.

Change: discovery.EndpointFields reads an entry to its end and names the first field that it can't read; discovery.LastGoodEntries keeps the last good entry of an endpoint that is known, leaves out others, and names entry and field in one warning a second. A phase that can be read and says that the endpoint drains or has gone counts all the same. A list of which no entry can be read, or whose frame can't, leaves the last list as before, and the configuration's `known` is read as strictly as before.

--- a/node/src/main/java/fawnlb/discovery/AddressOwners.java
+++ b/node/src/main/java/fawnlb/discovery/AddressOwners.java
@@ -33,7 +33,7 @@
         List<DiscoveredEndpoint> endpoints = resolved.values().stream()
                 .filter(endpoint -> !list.complete() || endpoint.phase() != EndpointPhase.GONE)
                 .toList();
-        return new EndpointList(list.revision(), list.complete(), endpoints);
+        return list.withEndpoints(endpoints);
     }
 
     /** Takes an entry over into what is resolved, and marks the endpoint that has lost its address by it. */
@@ -42,12 +42,12 @@
         DiscoveredEndpoint owner =
                 endpoint.phase() == EndpointPhase.GONE ? null : ownersByAddress.get(endpoint.hostAndPort());
         if (owner != null && owner.upSinceMillis() > endpoint.upSinceMillis()) {
-            resolved.put(endpoint.id(), gone(endpoint));
+            resolved.put(endpoint.id(), endpoint.withPhase(EndpointPhase.GONE));
             return;
         }
         if (owner != null && owner.upSinceMillis() < endpoint.upSinceMillis()) {
             release(owner.id());
-            resolved.put(owner.id(), gone(owner));
+            resolved.put(owner.id(), owner.withPhase(EndpointPhase.GONE));
         }
         resolved.put(endpoint.id(), endpoint);
         if (endpoint.phase() != EndpointPhase.GONE) {
@@ -63,17 +63,4 @@
             ownersByAddress.remove(address);
         }
     }
-
-    private static DiscoveredEndpoint gone(DiscoveredEndpoint endpoint) {
-        return new DiscoveredEndpoint(
-                endpoint.id(),
-                endpoint.host(),
-                endpoint.port(),
-                endpoint.zone(),
-                endpoint.kind(),
-                endpoint.cell(),
-                EndpointPhase.GONE,
-                endpoint.size(),
-                endpoint.upSinceMillis());
-    }
 }
--- a/node/src/main/java/fawnlb/discovery/DiscoveredEndpoint.java
+++ b/node/src/main/java/fawnlb/discovery/DiscoveredEndpoint.java
@@ -25,6 +25,11 @@
         EndpointPhase phase,
         double size,
         long upSinceMillis) {
+    /** The same endpoint in another phase. */
+    public DiscoveredEndpoint withPhase(EndpointPhase other) {
+        return new DiscoveredEndpoint(id, host, port, zone, kind, cell, other, size, upSinceMillis);
+    }
+
     /** The address as discovery writes it, {@code host:port}. */
     public String hostAndPort() {
         return host + ':' + port;
--- a/node/src/main/java/fawnlb/discovery/DuplicateEntries.java
+++ b/node/src/main/java/fawnlb/discovery/DuplicateEntries.java
@@ -30,9 +30,7 @@
     public EndpointList remove(EndpointList list) {
         Map<EndpointId, DiscoveredEndpoint> entries = new LinkedHashMap<>();
         list.endpoints().forEach(entry -> entries.merge(entry.id(), entry, this::chooseEntry));
-        return entries.size() == list.endpoints().size()
-                ? list
-                : new EndpointList(list.revision(), list.complete(), List.copyOf(entries.values()));
+        return entries.size() == list.endpoints().size() ? list : list.withEndpoints(List.copyOf(entries.values()));
     }
 
     private DiscoveredEndpoint chooseEntry(DiscoveredEndpoint former, DiscoveredEndpoint later) {
--- a/node/src/main/java/fawnlb/server/EndpointMemory.java
+++ b/node/src/main/java/fawnlb/server/EndpointMemory.java
@@ -39,6 +39,11 @@
         for (DiscoveredEndpoint endpoint : list.endpoints()) {
             (endpoint.phase() == EndpointPhase.GONE ? gone : listed).add(endpoint.id());
         }
+        // An endpoint whose entry can't be read keeps its last one.
+        list.invalidEntries().stream()
+                .map(entry -> EndpointId.of(entry.id()))
+                .filter(isKnown)
+                .forEach(listed::add);
         long added = listed.stream().filter(id -> !isKnown.test(id)).count();
         long removed = gone.stream().filter(isKnown::test).count();
         int count = list.complete() ? listed.size() : (int) (knownEndpoints + added - removed);
--- a/node/src/main/java/fawnlb/server/EndpointPublisher.java
+++ b/node/src/main/java/fawnlb/server/EndpointPublisher.java
@@ -12,6 +12,7 @@
 import fawnlb.discovery.EndpointList;
 import fawnlb.discovery.EndpointListFormatException;
 import fawnlb.discovery.EndpointStartTimes;
+import fawnlb.discovery.LastGoodEntries;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
 import fawnlb.proxy.RequestProxy;
@@ -37,6 +38,7 @@
     private final EndpointMemory memory;
     private final AddressOwners addressOwners = new AddressOwners();
     private final DuplicateEntries duplicates;
+    private final LastGoodEntries lastGoodEntries;
     private final ListedEndpointIds listedIds;
     private final EndpointStartTimes startTimes = new EndpointStartTimes();
     private RequestProxy requestProxy;
@@ -64,6 +66,7 @@
         this.readiness = readiness;
         this.memory = memory;
         this.duplicates = new DuplicateEntries(timers);
+        this.lastGoodEntries = new LastGoodEntries(timers);
         this.listedIds = new ListedEndpointIds(timers);
     }
 
@@ -85,7 +88,7 @@
 
     @Override
     public void onDiscoveryUpdate(EndpointUpdateKind kind, EndpointList listed) {
-        EndpointList list = listed == null ? null : addressOwners.resolve(duplicates.remove(listed));
+        EndpointList list = listed == null ? null : resolve(listed);
         if (snapshotRecorder != null) {
             snapshotRecorder.onDiscoveryUpdate(kind, list);
         }
@@ -98,6 +101,10 @@
         readiness.onDiscoveryUpdate(kind);
     }
 
+    private EndpointList resolve(EndpointList listed) {
+        return addressOwners.resolve(lastGoodEntries.restore(duplicates.remove(listed)));
+    }
+
     @Override
     public void onHeartbeat() {
         startTimes.recordContact(timers.now());
--- a/node/src/test/java/fawnlb/discovery/EndpointListCodecTest.java
+++ b/node/src/test/java/fawnlb/discovery/EndpointListCodecTest.java
@@ -72,6 +72,39 @@
                 assertEquals(text, reason, assertRejected(text).reason()));
     }
 
+    /** Guards against lists that are thrown away whole for one field of one entry. */
+    @Test
+    public void entryThatCannotBeReadIsNamedAndLeavesTheOthers() throws IOException {
+        Map<String, InvalidEntry> invalidEntries = new LinkedHashMap<>();
+        String odd = endpointJson("draining").replace("s-5be2a07c", "odd");
+        invalidEntries.put(odd.replace("1.5", "\"x\""), new InvalidEntry("odd", "size", EndpointPhase.DRAINING));
+        invalidEntries.put(odd.replace("1.5", "{\"id\":7}"), new InvalidEntry("odd", "size", EndpointPhase.DRAINING));
+        invalidEntries.put(odd.replace(":3,", ":3e99,"), new InvalidEntry("odd", "cell", EndpointPhase.DRAINING));
+        invalidEntries.put(
+                odd.replace("\"up_since_ms\":7", "\"up_since_ms\":99999999999999999999"),
+                new InvalidEntry("odd", "up_since_ms", EndpointPhase.DRAINING));
+        invalidEntries.put(odd.replace("\"draining\"", "[]"), new InvalidEntry("odd", "phase", null));
+        invalidEntries.put(odd.replace("\"odd\"", "{}"), new InvalidEntry("", "id", EndpointPhase.DRAINING));
+        invalidEntries.put(
+                odd.replace("127.0.0.1:9", "h"), new InvalidEntry("odd", "host_port", EndpointPhase.DRAINING));
+        invalidEntries.put("{}", new InvalidEntry("", "id", EndpointPhase.DRAINING));
+        invalidEntries.put("[[1],2]", new InvalidEntry("", "members", null));
+        for (Map.Entry<String, InvalidEntry> row : invalidEntries.entrySet()) {
+            EndpointList list = EndpointListCodec.parse(listJson(row.getKey(), endpointJson("ready")));
+
+            assertEquals(row.getKey(), List.of(row.getValue()), list.invalidEntries());
+            assertEquals(row.getKey(), 1, list.endpoints().size());
+            assertEquals("s-5be2a07c", list.endpoints().get(0).id().name());
+        }
+    }
+
+    @Test
+    public void listOfWhichNoEntryCanBeReadIsRejected() {
+        String odd = endpointJson("ready").replace("1.5", "\"x\"");
+
+        assertEquals(Reason.INVALID_ENDPOINT, assertRejected(listJson(odd, odd)).reason());
+    }
+
     /** A name would be looked up on the I/O thread, and a connect to what is no address would never end. */
     @Test
     public void rejectsAddressesThatAreNotNumeric() {
--- a/node/src/test/java/fawnlb/server/DiscoveryUpdateTest.java
+++ b/node/src/test/java/fawnlb/server/DiscoveryUpdateTest.java
@@ -17,7 +17,9 @@
 
 import fawnlb.CapturedLog;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.Test;
 
 /** How the server follows discovery while it runs. */
@@ -67,6 +69,34 @@
         }
     }
 
+    /** Guards against fleets that serve nobody because one entry of their list can't be read. */
+    @Test
+    public void entryThatCannotBeReadLeavesTheOthersServing() throws Exception {
+        try (FakeHttpServer known = FakeHttpServer.responding(COMPLETE_STREAM);
+                FakeHttpServer listed = FakeHttpServer.responding(COMPLETE_STREAM);
+                FakeHttpServer unreadable = FakeHttpServer.responding(COMPLETE_STREAM);
+                FakeHttpServer discovery = FakeHttpServer.holdingOpenAfter(openStream(completeList(
+                        2, withoutSize(ready(1, known)), ready(2, listed), withoutSize(ready(3, unreadable)))));
+                ServerHarness harness = ServerHarness.withConfig(
+                        ServerConfigJson.watching(discovery).endpoints(ready(1, known)))) {
+            AtomicInteger session = new AtomicInteger();
+            waitUntil("the readable entry serves", () -> {
+                harness.exchange(chat("id-" + session, 3000, sessionKey(session.incrementAndGet())));
+                return !listed.requests.isEmpty();
+            });
+            int requestsBefore = known.requests.size();
+            waitUntil("the known one serves on", () -> {
+                harness.exchange(chat("id-" + session, 3000, sessionKey(session.incrementAndGet())));
+                return known.requests.size() > requestsBefore;
+            });
+            assertEquals(List.of(), unreadable.requests);
+        }
+    }
+
+    private static String withoutSize(String endpoint) {
+        return endpoint.replace("\"size\":1", "\"size\":\"x\"");
+    }
+
     /** A pushed list is only the first one: the server watches the agent for those that follow. */
     @Test
     public void pushedEndpointListIsFollowed() throws Exception {
--- a/node/src/test/java/fawnlb/server/EndpointMemoryTest.java
+++ b/node/src/test/java/fawnlb/server/EndpointMemoryTest.java
@@ -9,6 +9,7 @@
 import fawnlb.discovery.DiscoveredEndpoint;
 import fawnlb.discovery.EndpointList;
 import fawnlb.discovery.EndpointListFormatException;
+import fawnlb.discovery.InvalidEntry;
 import fawnlb.memory.MemoryBudget;
 import fawnlb.memory.MemoryPlan;
 import fawnlb.memory.MemoryUse;
@@ -69,6 +70,16 @@
         assertThrows(EndpointListFormatException.class, () -> check(new EndpointList(1, true, endpoints), 0));
     }
 
+    @Test
+    public void knownEndpointsWhoseEntriesCannotBeReadAreCounted() throws EndpointListFormatException {
+        EndpointList list = list(true, EndpointPhase.READY, 2, 3, 4);
+        List<InvalidEntry> invalidEntries = List.of(new InvalidEntry("s-00000001", "size", EndpointPhase.READY));
+        EndpointList withInvalidEntry = new EndpointList(1, true, list.endpoints(), invalidEntries);
+
+        check(withInvalidEntry, 0);
+        assertThrows(EndpointListFormatException.class, () -> check(withInvalidEntry, 1));
+    }
+
     @Test
     public void changeMayReplaceEndpointsAtTheLimit() throws EndpointListFormatException {
         List<DiscoveredEndpoint> replacement =
