Cut ids from outside in log lines

An endpoint's id may be as long as a list (4 MiB), and lines at WARNING name ids since endpoints are known by them. LogLine.backend and withId leave out what is beyond 100 characters; LogLineTest.longIdsAreCut.

--- a/node/src/main/java/fawnlb/metrics/LogLine.java
+++ b/node/src/main/java/fawnlb/metrics/LogLine.java
@@ -28,6 +28,7 @@
     public static final String ELAPSED_MS = "elapsed_ms";
 
     private static final int INITIAL_CAPACITY = 128;
+    private static final int MAX_ID_CHARS = 100;
     private static final long NANOS_PER_MILLISECOND = 1_000_000;
     private static final char FIRST_PRINTABLE = ' ';
     private static final char DELETE = 0x7f;
@@ -55,7 +56,7 @@
 
     /** Adds a backend by its address, or its id; {@code null} adds nothing. */
     public LogLine backend(String addressOrId) {
-        return with(BACKEND, addressOrId);
+        return withId(BACKEND, addressOrId);
     }
 
     /** Adds the number of an attempt, from 0. */
@@ -73,6 +74,14 @@
         return with(ELAPSED_MS, nanos / NANOS_PER_MILLISECOND);
     }
 
+    /**
+     * Adds an id that comes from outside and may have any length: what is beyond {@value #MAX_ID_CHARS} characters is
+     * left out. {@code null} adds nothing.
+     */
+    public LogLine withId(String key, String id) {
+        return with(key, id == null || id.length() <= MAX_ID_CHARS ? id : id.substring(0, MAX_ID_CHARS) + "...");
+    }
+
     /** Adds any other pair; a {@code null} value adds nothing. */
     public LogLine with(String key, String value) {
         if (value == null) {
--- a/node/src/main/java/fawnlb/server/ListedEndpointIds.java
+++ b/node/src/main/java/fawnlb/server/ListedEndpointIds.java
@@ -54,7 +54,7 @@
         if (neighbor != null && neighbor.ringSeed() == joined.ringSeed()) {
             log.log(() -> LogLine.event("endpoints share their points on the hash ring")
                     .backend(joined.name())
-                    .with("other", neighbor.name()));
+                    .withId("other", neighbor.name()));
         }
     }
 
--- a/node/src/test/java/fawnlb/metrics/LogLineTest.java
+++ b/node/src/test/java/fawnlb/metrics/LogLineTest.java
@@ -20,6 +20,16 @@
                 line);
     }
 
+    /** Guards against a log that discovery fills: an id may be as long as a list. */
+    @Test
+    public void longIdsAreCut() {
+        String id = "x".repeat(101);
+
+        assertEquals(
+                "e backend=" + id.substring(1) + "... other=" + id.substring(1),
+                LogLine.event("e").backend(id).withId("other", id.substring(1)).toString());
+    }
+
     @Test
     public void backendCanBeNamedByItsId() {
         assertEquals(
