Give all listeners one owner of the room for client connections

Cause: server.Fronts gave each listener half of the connections, where client.Listener.acceptUpTo stopped to accept. ClientConnectionTracker.hasRoomToAccept closed idle connections only at the limit of all listeners together, which one front alone never reached. The admin listener had the same fault at its four connections.

Ruled out: silence as such (all holders show it), descriptors (no accept failed), the event loop (the other front answered at once).

Change: client.ConnectionCapacity decides for all listeners, before each accept and at each request. While a connection without a request is open, the oldest is closed, one that came in the last 50 ms last. A front leaves an eighth of the connections to the other one. Closed descriptors count until the poll that frees them. AcceptQueueDelay bounds the wait in an accept queue that is never found empty by the queue's length. What the listeners hold, and since when one has stopped, is in the metrics and the log. The close reason no_room_unread has no place any more and is gone.

Tests changed: ListenerTest gives the listener a stand-in with room for a number of connections, in place of that number; TickingTimers keeps tasks for the next poll apart.

--- a/node/src/main/java/fawnlb/client/ClientConnectionTracker.java
+++ b/node/src/main/java/fawnlb/client/ClientConnectionTracker.java
@@ -4,18 +4,15 @@
 import fawnlb.eventloop.ThreadSafe;
 import fawnlb.eventloop.Timers;
 import fawnlb.memory.MemoryBudget;
-import fawnlb.memory.MemoryReclaimer;
-import fawnlb.metrics.Metric;
-import fawnlb.metrics.Metrics;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.ExchangeCompletionListener.NextListener;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
+import java.util.List;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
@@ -40,7 +37,7 @@
     /**
      * The limits of client connections.
      *
-     * @param maxConnections how many connections may be open; over that, idle ones are closed
+     * @param maxConnections how many connections the fronts may have open; over that, idle ones are closed
      * @param idleTimeoutNanos how long a connection may be idle
      * @param requestHeadTimeoutNanos how long the head of a request may take from its first byte
      */
@@ -60,6 +57,7 @@
     private final ConnectionTable connections;
     private final RequestMemory memory;
     private final ConnectionCloser closer;
+    private final ConnectionCapacity capacity;
     private volatile boolean shuttingDown;
 
     /**
@@ -68,35 +66,68 @@
      * @param budget in which requests are reserved without their bodies
      * @param slowBodies ends requests whose bodies arrive slowly, to make room for other connections
      */
-    public ClientConnectionTracker(Limits limits, Timers timers, MemoryBudget budget, MemoryReclaimer slowBodies) {
+    public ClientConnectionTracker(Limits limits, Timers timers, MemoryBudget budget, SlowBodies slowBodies) {
         this.limits = limits;
         this.timers = timers;
-        this.connections = new ConnectionTable(timers);
+        this.connections = new ConnectionTable(timers, this::onConnectionClosed);
         this.memory = new RequestMemory(budget);
         this.closer = new ConnectionCloser(connections, limits, timers, slowBodies);
+        this.capacity = new ConnectionCapacity(connections, closer::tryMakeRoom, timers);
         budget.addReclaimer(closer::closeOldestPartialHead);
         closer.start();
     }
 
-    /** How many connections may be accepted and open at a time, those over the limit included. */
-    @ThreadSafe
-    public int maxAcceptedConnections() {
-        return limits.maxConnections() + CONNECTIONS_OVER_LIMIT;
+    private void onConnectionClosed(ConnectionQuota quota) {
+        capacity.onConnectionClosed(quota);
+    }
+
+    /**
+     * Divides the connections of clients among the fronts.
+     *
+     * @param listeners the names of the fronts' listeners in metrics
+     * @return their quotas, in the same order
+     */
+    public List<ConnectionQuota> divideAmongFronts(String... listeners) {
+        return divide(limits.maxConnections(), CONNECTIONS_OVER_LIMIT, listeners);
+    }
+
+    /**
+     * Gives a listener connections beside those of the fronts. One of them only has its requests rejected.
+     *
+     * @param listener its name in metrics
+     */
+    public ConnectionQuota reserveFor(String listener, int maxDescriptors) {
+        return divide(maxDescriptors - 1, 1, listener).get(0);
+    }
+
+    private List<ConnectionQuota> divide(int maxConnections, int maxOverLimit, String... listeners) {
+        ConnectionLimit limit = new ConnectionLimit(maxConnections, maxOverLimit, List.of(listeners));
+        capacity.publish(limit);
+        return limit.quotas();
+    }
+
+    /** Returns whether a listener may accept one more connection. */
+    public boolean hasRoom(ConnectionQuota quota) {
+        return capacity.hasRoom(quota);
+    }
+
+    /** Runs a task once when there may be room for a connection. */
+    public void whenRoom(Runnable task) {
+        capacity.whenRoom(task);
     }
 
     /**
-     * Accepts a new connection and passes it to the listener that reads its requests.
+     * Takes a new connection, for which there was room, and passes it to the listener that reads its requests.
      *
      * @param queuedNanos how long its first request may have waited in the kernel's accept queue, in nanoseconds
      */
     public void accept(
-            StreamConnection connection, long queuedNanos, ChannelListener<? super StreamConnection> requestReader) {
-        if (!hasRoomToAccept()) {
-            Metrics.increment(Metric.CLIENT_CONNECTIONS_CLOSED, CloseReason.ACCEPT_LIMIT.label());
-            IoUtils.safeClose(connection);
-            return;
-        }
-        connections.add(connection, queuedNanos);
+            StreamConnection connection,
+            ConnectionQuota quota,
+            long queuedNanos,
+            ChannelListener<? super StreamConnection> requestReader) {
+        capacity.makeRoomForAccepted(quota);
+        connections.add(connection, quota, queuedNanos);
         memory.add(connection);
         observeReads(connection);
         requestReader.handleEvent(connection);
@@ -104,12 +135,6 @@
         reservePartialHead(connection);
     }
 
-    private boolean hasRoomToAccept() {
-        return connections.size() < limits.maxConnections()
-                || closer.tryMakeRoom()
-                || connections.size() < maxAcceptedConnections();
-    }
-
     private void observeReads(StreamConnection connection) {
         ConduitStreamSourceChannel source = connection.getSourceChannel();
         source.setConduit(new ReadObserverConduit(
@@ -177,7 +202,8 @@
     }
 
     private RequestAdmission admit(StreamConnection connection, HttpServerExchange exchange) {
-        if (connections.size() > limits.maxConnections() && !closer.tryMakeRoom()) {
+        ConnectionTable.Entry entry = connections.get(connection);
+        if (entry != null && !capacity.tryAdmit(entry.quota())) {
             return RequestAdmission.NO_CONNECTION;
         }
         return memory.tryReserveRequest(connection, exchange) ? RequestAdmission.ADMITTED : RequestAdmission.NO_MEMORY;
@@ -188,7 +214,7 @@
             closeAfterLastExchange(connection, exchange, next);
         } else if (((HttpServerConnection) exchange.getConnection()).getExtraBytes() == null) {
             memory.releaseRequest(connection);
-            connections.enterIfPresent(connection, ConnectionState.IDLE);
+            enterWithoutRequest(connection, ConnectionState.IDLE);
             next.proceed();
         } else {
             memory.releaseRequest(connection);
@@ -199,7 +225,7 @@
 
     /** Undertow reads the bytes that it has already as a task of the I/O thread. */
     private void readNextRequest(StreamConnection connection, HttpServerExchange exchange, NextListener next) {
-        connections.enterIfPresent(connection, ConnectionState.READING_HEAD);
+        enterWithoutRequest(connection, ConnectionState.READING_HEAD);
         PooledByteBuffer readAhead = ((HttpServerConnection) exchange.getConnection()).getExtraBytes();
         boolean isHeadComplete = readAhead != null && addHeadBytes(connection, readAhead.getBuffer());
         next.proceed();
@@ -209,7 +235,7 @@
     }
 
     private void closeAfterLastExchange(StreamConnection connection, HttpServerExchange exchange, NextListener next) {
-        connections.enterIfPresent(connection, ConnectionState.CLOSING);
+        enterWithoutRequest(connection, ConnectionState.CLOSING);
         if (LingeringClose.isRequiredFor(exchange)) {
             LingeringClose.begin(exchange, timers);
         } else {
@@ -217,6 +243,11 @@
         }
     }
 
+    private void enterWithoutRequest(StreamConnection connection, ConnectionState state) {
+        connections.enterIfPresent(connection, state);
+        capacity.onRequestEnded();
+    }
+
     private boolean addHeadBytes(StreamConnection connection, ByteBuffer readAhead) {
         return memory.addHeadBytes(connection, readAhead, readAhead.position(), readAhead.limit());
     }
--- a/node/src/main/java/fawnlb/client/CloseReason.java
+++ b/node/src/main/java/fawnlb/client/CloseReason.java
@@ -10,8 +10,6 @@
     CLOSING_TIMEOUT("closing_limit"),
     /** The connection was closed without a pending request to make room for another connection. */
     CONNECTION_LIMIT("no_room"),
-    /** The connection was closed right after its accept, because even those over the limit were too many. */
-    ACCEPT_LIMIT("no_room_unread"),
     /** The connection's incomplete head was closed to make room in memory. */
     MEMORY_LIMIT("no_memory"),
     /** The connection had no pending request when the process was shut down. */
--- a/node/src/main/java/fawnlb/client/ConnectionCloser.java
+++ b/node/src/main/java/fawnlb/client/ConnectionCloser.java
@@ -3,10 +3,10 @@
 import fawnlb.client.ClientConnectionTracker.Limits;
 import fawnlb.eventloop.EventLoopOnly;
 import fawnlb.eventloop.Timers;
-import fawnlb.memory.MemoryReclaimer;
 import fawnlb.metrics.Invariant;
 import fawnlb.metrics.Metric;
 import fawnlb.metrics.Metrics;
+import java.util.function.Predicate;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -28,13 +28,18 @@
     /** Clients send a head in one piece; one that is incomplete for longer may be closed for want of memory. */
     private static final long MIN_PARTIAL_HEAD_NANOS = 250_000_000;
 
+    /** A client that connected or began a head less than this ago is probably about to send the rest. */
+    private static final long NEW_CLIENT_NANOS = 50_000_000;
+
+    private static final Predicate<ConnectionQuota> ANY_QUOTA = quota -> true;
+
     private final ConnectionTable connections;
     private final Limits limits;
     private final Timers timers;
-    private final MemoryReclaimer slowBodies;
+    private final SlowBodies slowBodies;
     private boolean makingRoom;
 
-    ConnectionCloser(ConnectionTable connections, Limits limits, Timers timers, MemoryReclaimer slowBodies) {
+    ConnectionCloser(ConnectionTable connections, Limits limits, Timers timers, SlowBodies slowBodies) {
         this.connections = connections;
         this.limits = limits;
         this.timers = timers;
@@ -63,43 +68,50 @@
     /** Closes the connections whose timeout in a state has passed, and returns when the next one will pass. */
     private long closeExpired(ConnectionState state, long timeoutNanos, CloseReason reason) {
         long nowNanos = timers.now();
-        StreamConnection oldest = connections.oldestIn(state);
+        StreamConnection oldest = connections.oldestIn(state, ANY_QUOTA);
         while (oldest != null && nowNanos - connections.get(oldest).sinceNanos() >= timeoutNanos) {
             closeUnlessRequestPending(oldest, reason);
-            oldest = connections.oldestIn(state);
+            oldest = connections.oldestIn(state, ANY_QUOTA);
         }
         return oldest == null ? timeoutNanos : connections.get(oldest).sinceNanos() + timeoutNanos - nowNanos;
     }
 
     /**
-     * Closes one connection that carries no request, preferably an idle one. Returns false if there is none. Also
-     * returns false if it is called for a request that this method has just found while it read a connection: one pass
-     * over the connections is enough.
+     * Closes one connection of these quotas that carries no request, preferably an idle one that is not new. Returns
+     * false if there is none. Also returns false if it is called for a request that this method has just found while it
+     * read a connection: one pass over the connections is enough.
      */
-    boolean tryMakeRoom() {
+    boolean tryMakeRoom(Predicate<ConnectionQuota> quotas) {
         if (makingRoom) {
             return false;
         }
         makingRoom = true;
         try {
-            return closeOldest(ConnectionState.IDLE)
-                    || closeOldest(ConnectionState.CLOSING)
-                    || closeOldest(ConnectionState.READING_HEAD)
-                    || slowBodies.reclaim() && closeOldest(ConnectionState.CLOSING);
+            return closeOldest(ConnectionState.IDLE, quotas, NEW_CLIENT_NANOS)
+                    || closeOldest(ConnectionState.CLOSING, quotas, 0)
+                    || closeOldest(ConnectionState.READING_HEAD, quotas, NEW_CLIENT_NANOS)
+                    || closeOldest(ConnectionState.IDLE, quotas, 0)
+                    || closeOldest(ConnectionState.READING_HEAD, quotas, 0)
+                    || rejectSlowestBody(quotas) && closeOldest(ConnectionState.CLOSING, quotas, 0);
         } finally {
             makingRoom = false;
         }
     }
 
-    private boolean closeOldest(ConnectionState state) {
-        return closeOldest(state, 0, CloseReason.CONNECTION_LIMIT);
+    private boolean rejectSlowestBody(Predicate<ConnectionQuota> quotas) {
+        return slowBodies.rejectSlowest(connection -> connections.isOfQuota(connection, quotas));
+    }
+
+    private boolean closeOldest(ConnectionState state, Predicate<ConnectionQuota> quotas, long minNanos) {
+        return closeOldest(state, quotas, minNanos, CloseReason.CONNECTION_LIMIT);
     }
 
     /** Closes the oldest connection in a state that has been in it for a time, and returns whether there was one. */
-    private boolean closeOldest(ConnectionState state, long minNanos, CloseReason reason) {
+    private boolean closeOldest(
+            ConnectionState state, Predicate<ConnectionQuota> quotas, long minNanos, CloseReason reason) {
         // Each pass closes the oldest connection, or finds that it has a request and another is the oldest now.
         for (int remainingChecks = connections.size(); remainingChecks > 0; remainingChecks--) {
-            StreamConnection oldest = connections.oldestIn(state);
+            StreamConnection oldest = connections.oldestIn(state, quotas);
             if (oldest == null || timers.now() - connections.get(oldest).sinceNanos() < minNanos) {
                 return false;
             }
@@ -112,7 +124,7 @@
 
     /** Closes the connection whose head has been incomplete for longest, and returns whether there was one. */
     boolean closeOldestPartialHead() {
-        return closeOldest(ConnectionState.READING_HEAD, MIN_PARTIAL_HEAD_NANOS, CloseReason.MEMORY_LIMIT);
+        return closeOldest(ConnectionState.READING_HEAD, ANY_QUOTA, MIN_PARTIAL_HEAD_NANOS, CloseReason.MEMORY_LIMIT);
     }
 
     /** Closes a connection whose incomplete head has no room in memory, unless its request is complete now. */
--- a/node/src/main/java/fawnlb/client/Listener.java
+++ b/node/src/main/java/fawnlb/client/Listener.java
@@ -1,5 +1,6 @@
 package fawnlb.client;
 
+import fawnlb.eventloop.RateLimitedLog;
 import fawnlb.eventloop.Timers;
 import fawnlb.eventloop.UncaughtErrorHandler;
 import fawnlb.metrics.LogLine;
@@ -9,6 +10,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -34,7 +36,7 @@
     /** The delay of a timer that runs as soon as the thread has polled its sockets. */
     private static final long NEXT_POLL_NANOS = 1;
 
-    private static final long NOT_BLOCKED = Long.MIN_VALUE;
+    private static final long NOT_STOPPED = Long.MIN_VALUE;
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
 
     /** Accepts one socket. */
@@ -44,9 +46,14 @@
         SocketChannel accept() throws IOException;
     }
 
-    /** Receives new connections on the I/O thread. */
-    @FunctionalInterface
+    /** Receives new connections, on the I/O thread. */
     public interface ConnectionHandler {
+        /** Returns whether there is room for one more connection. Asked before each accept. */
+        boolean hasRoom();
+
+        /** Runs a task once when there may be room. */
+        void whenRoom(Runnable task);
+
         /**
          * Called once for each connection.
          *
@@ -56,55 +63,59 @@
     }
 
     /**
-     * The limits of one listener.
+     * The sizes that the kernel is given for one listener.
      *
-     * @param maxConnections how many connections accepted by this listener may be open; others wait in the accept queue
-     * @param backlog the length of the kernel's accept queue
-     * @param sendBufferBytes the size of each connection's send buffer in the kernel
+     * @param backlog the length of the accept queue
+     * @param sendBufferBytes the size of each connection's send buffer
      */
-    public record Limits(int maxConnections, int backlog, int sendBufferBytes) {}
+    public record SocketOptions(int backlog, int sendBufferBytes) {}
 
     /** How a run of accepts ended. */
     private enum AcceptResult {
         QUEUE_EMPTY,
         /** As many connections as allowed were accepted; others may be waiting. */
         BATCH_COMPLETE,
-        AT_CONNECTION_LIMIT,
+        NO_ROOM,
         FAILED
     }
 
     private final ServerSocketChannel channel;
     private final SocketAcceptor acceptor;
-    private final Limits limits;
+    private final SocketOptions options;
     private final Timers timers;
     private final ConnectionHandler connectionHandler;
     private final AcceptFailureLog failureLog;
+    private final RateLimitedLog noRoomLog;
+    private final AcceptQueueDelay queueDelay;
     private ListeningSocket socket;
-    private int openConnections;
-    private boolean atConnectionLimit;
-    /** Since when connections may wait in the accept queue because they could not be accepted. */
-    private long blockedSinceNanos = NOT_BLOCKED;
+    /** Since when no connection has been accepted for want of room. */
+    private long stoppedSinceNanos = NOT_STOPPED;
 
+    private boolean isRetryScheduled;
+    private boolean isWaitingForRoom;
     private boolean closing;
 
     /** Creates a listener and binds it to an address. It accepts no connection before {@link #start}. */
-    public Listener(InetSocketAddress address, Limits limits, Timers timers, ConnectionHandler connectionHandler)
+    public Listener(
+            InetSocketAddress address, SocketOptions options, Timers timers, ConnectionHandler connectionHandler)
             throws IOException {
-        this(bind(address, limits.backlog()), null, limits, timers, connectionHandler);
+        this(bind(address, options.backlog()), null, options, timers, connectionHandler);
     }
 
     Listener(
             ServerSocketChannel channel,
             SocketAcceptor acceptor,
-            Limits limits,
+            SocketOptions options,
             Timers timers,
             ConnectionHandler connectionHandler) {
         this.channel = channel;
         this.acceptor = acceptor == null ? channel::accept : acceptor;
-        this.limits = limits;
+        this.options = options;
         this.timers = timers;
         this.connectionHandler = connectionHandler;
         this.failureLog = new AcceptFailureLog(timers);
+        this.noRoomLog = new RateLimitedLog(LOG, Level.WARNING, timers);
+        this.queueDelay = new AcceptQueueDelay(options.backlog(), timers);
     }
 
     static ServerSocketChannel bind(InetSocketAddress address, int backlog) throws IOException {
@@ -142,36 +153,75 @@
         }
         timers.onSocketEvent();
         AcceptResult result = accept(MAX_ACCEPTS_PER_EVENT);
-        if (result == AcceptResult.AT_CONNECTION_LIMIT) {
-            atConnectionLimit = true;
-            socket.suspendAccepts();
+        if (result == AcceptResult.NO_ROOM) {
+            stopUntilRoom();
         } else if (result == AcceptResult.FAILED) {
             socket.suspendAccepts();
-            timers.schedule(ACCEPT_RETRY_DELAY_NANOS, this::resumeAccepts);
+            scheduleRetry();
         }
     }
 
+    /** A connection may be closed at any time by its own timeouts, so that room is looked for again without a call. */
+    private void stopUntilRoom() {
+        socket.suspendAccepts();
+        if (stoppedSinceNanos == NOT_STOPPED) {
+            stoppedSinceNanos = timers.now();
+        }
+        if (!isWaitingForRoom) {
+            isWaitingForRoom = true;
+            connectionHandler.whenRoom(() -> {
+                isWaitingForRoom = false;
+                resumeAccepts();
+            });
+        }
+        scheduleRetry();
+    }
+
+    private void scheduleRetry() {
+        if (!isRetryScheduled) {
+            isRetryScheduled = true;
+            timers.schedule(ACCEPT_RETRY_DELAY_NANOS, this::retry);
+        }
+    }
+
+    private void retry() {
+        isRetryScheduled = false;
+        long stoppedNanos = stoppedNanos();
+        if (stoppedNanos >= ACCEPT_RETRY_DELAY_NANOS) {
+            noRoomLog.log(() -> LogLine.event("listener stopped")
+                    .with("address", address().toString())
+                    .elapsedNanos(stoppedNanos));
+        }
+        resumeAccepts();
+    }
+
     private void resumeAccepts() {
         if (!closing && channel.isOpen()) {
             socket.resumeAccepts();
         }
     }
 
+    /** For how long no connection has been accepted because there was no room, in nanoseconds; 0 if there is room. */
+    public long stoppedNanos() {
+        return stoppedSinceNanos == NOT_STOPPED ? 0 : timers.now() - stoppedSinceNanos;
+    }
+
     private AcceptResult accept(int maxAccepts) {
         AcceptResult result = acceptUpTo(maxAccepts);
         if (result == AcceptResult.QUEUE_EMPTY) {
-            blockedSinceNanos = NOT_BLOCKED;
-        } else if (blockedSinceNanos == NOT_BLOCKED) {
-            blockedSinceNanos = timers.now() - timers.maxEventAgeNanos();
+            queueDelay.onQueueEmpty();
+        } else {
+            queueDelay.onQueueNotEmptied();
         }
         return result;
     }
 
     private AcceptResult acceptUpTo(int maxAccepts) {
         for (int i = 0; i < maxAccepts; i++) {
-            if (openConnections >= limits.maxConnections()) {
-                return AcceptResult.AT_CONNECTION_LIMIT;
+            if (!connectionHandler.hasRoom()) {
+                return AcceptResult.NO_ROOM;
             }
+            stoppedSinceNanos = NOT_STOPPED;
             SocketChannel accepted;
             try {
                 accepted = acceptor.accept();
@@ -188,12 +238,13 @@
     }
 
     private void openConnection(SocketChannel accepted) {
+        long queuedNanos = queueDelay.onAccepted();
         StreamConnection connection;
         try {
             accepted.configureBlocking(false);
             accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            accepted.setOption(StandardSocketOptions.SO_SNDBUF, limits.sendBufferBytes());
-            connection = socket.openConnection(accepted, this::onConnectionClosed);
+            accepted.setOption(StandardSocketOptions.SO_SNDBUF, options.sendBufferBytes());
+            connection = socket.openConnection(accepted);
         } catch (IOException e) {
             // The client has disconnected, or its socket can't be used.
             LOG.fine(() -> LogLine.event("accepted connection failed")
@@ -202,17 +253,7 @@
             IoUtils.safeClose(accepted);
             return;
         }
-        openConnections++;
-        long blockedNanos = blockedSinceNanos == NOT_BLOCKED ? 0 : timers.now() - blockedSinceNanos;
-        connectionHandler.onAccepted(connection, Math.max(timers.maxEventAgeNanos(), blockedNanos));
-    }
-
-    private void onConnectionClosed() {
-        openConnections--;
-        if (atConnectionLimit) {
-            atConnectionLimit = false;
-            resumeAccepts();
-        }
+        connectionHandler.onAccepted(connection, queuedNanos);
     }
 
     /**
@@ -231,12 +272,12 @@
     private void closeGracefully(long deadlineNanos, Runnable onClosed) {
         // A channel that is still registered would only be closed at the thread's next poll of its sockets.
         boolean deadlinePassed = timers.now() >= deadlineNanos;
-        AcceptResult result = channel.isRegistered() ? AcceptResult.BATCH_COMPLETE : accept(limits.backlog());
+        AcceptResult result = channel.isRegistered() ? AcceptResult.BATCH_COMPLETE : accept(options.backlog());
         if (result == AcceptResult.QUEUE_EMPTY || deadlinePassed) {
             close();
             onClosed.run();
         } else {
-            long delayNanos = result == AcceptResult.BATCH_COMPLETE ? NEXT_POLL_NANOS : ACCEPT_RETRY_DELAY_NANOS;
+            long delayNanos = result == AcceptResult.FAILED ? ACCEPT_RETRY_DELAY_NANOS : NEXT_POLL_NANOS;
             timers.schedule(delayNanos, () -> closeGracefully(deadlineNanos, onClosed));
         }
     }
--- a/node/src/main/java/fawnlb/http/RequestBodyReader.java
+++ b/node/src/main/java/fawnlb/http/RequestBodyReader.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import org.xnio.StreamConnection;
 
 /**
  * Receives whole request bodies, up to the protocol's limit for each body and within the memory budget for all bodies
@@ -33,7 +35,7 @@
     public RequestBodyReader(MemoryBudget memory, Timers timers) {
         this.memory = memory;
         this.timers = timers;
-        memory.addReclaimer(this::rejectSlowest);
+        memory.addReclaimer(() -> rejectSlowest(connection -> true));
     }
 
     /** Answers a request whose body could not be received. */
@@ -102,17 +104,18 @@
     }
 
     /**
-     * Rejects the request whose body has been arriving for longest.
+     * Rejects, among the requests on these connections, the one whose body has been arriving for longest.
      *
      * @return false if no body has had enough time
      */
-    public boolean rejectSlowest() {
+    public boolean rejectSlowest(Predicate<StreamConnection> connections) {
         long startedBeforeNanos = timers.now() - MIN_RECEIVING_NANOS;
         for (Map.Entry<RequestBodyReceiver, Long> receiving : new ArrayList<>(receivingSinceNanos.entrySet())) {
             if (receiving.getValue() > startedBeforeNanos) {
                 return false;
             }
-            if (receiving.getKey().rejectUnlessComplete()) {
+            RequestBodyReceiver receiver = receiving.getKey();
+            if (connections.test(receiver.clientConnection()) && receiver.rejectUnlessComplete()) {
                 return true;
             }
         }
--- a/node/src/main/java/fawnlb/http/RequestBodyReceiver.java
+++ b/node/src/main/java/fawnlb/http/RequestBodyReceiver.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 
 /** Receives the body of one request. Reads the connection's bytes below Undertow's own framing. */
@@ -244,6 +245,11 @@
         onBody.accept(exchange, reference);
     }
 
+    /** The client's connection. */
+    StreamConnection clientConnection() {
+        return connection.getChannel();
+    }
+
     /**
      * Rejects the request to make room for others. It is read once more before: on a busy processor its body may lie
      * unread.
--- a/node/src/main/java/fawnlb/metrics/Metric.java
+++ b/node/src/main/java/fawnlb/metrics/Metric.java
@@ -38,6 +38,23 @@
             Type.GAUGE,
             "kind",
             "The heap: what may be reserved, what is used with garbage, and its largest size"),
+    CLIENT_CONNECTIONS(
+            "fawnlb_client_connections", Type.GAUGE, "listener", "Client connections that are open, by their listener"),
+    CLIENT_CONNECTIONS_WITHOUT_REQUEST(
+            "fawnlb_client_connections_without_request",
+            Type.GAUGE,
+            "listener",
+            "Client connections that may be closed to make room, by their listener"),
+    CLIENT_CONNECTIONS_LIMIT(
+            "fawnlb_client_connections_limit",
+            Type.GAUGE,
+            "listener",
+            "Client connections with requests that a listener may have"),
+    LISTENER_STOPPED(
+            "fawnlb_listener_stopped_milliseconds",
+            Type.GAUGE,
+            "listener",
+            "For how long a listener has accepted nothing for want of room"),
     ACCEPT_FAILURES("fawnlb_accept_failures_total", "kind", "Client connections that could not be accepted"),
     LOCAL_CONNECT_FAILURES(
             "fawnlb_local_connect_failures_total",
--- a/node/src/main/java/fawnlb/server/Fronts.java
+++ b/node/src/main/java/fawnlb/server/Fronts.java
@@ -1,5 +1,7 @@
 package fawnlb.server;
 
+import fawnlb.client.ClientConnectionTracker;
+import fawnlb.client.ConnectionQuota;
 import fawnlb.client.RequestIds;
 import fawnlb.config.MessagesConfiguration;
 import fawnlb.config.ServerConfiguration;
@@ -16,6 +18,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -23,6 +26,9 @@
  * offered. It is used on the thread that starts the server; the handlers run on the I/O thread.
  */
 final class Fronts {
+    private static final String PLATFORM_LISTENER = "platform";
+    private static final String MESSAGES_LISTENER = "messages";
+
     private final ServerConfiguration configuration;
     private final MessagesConfiguration messages;
     private final EventLoop eventLoop;
@@ -54,10 +60,11 @@
     /**
      * Opens the listeners.
      *
-     * @param maxConnections how many connections all of them together may accept
+     * @param connections divides the connections of clients among them
      * @throws IOException if an address cannot be bound
      */
-    void open(RequestProxy requestProxy, ReadinessGate readiness, int maxConnections) throws IOException {
+    void open(RequestProxy requestProxy, ReadinessGate readiness, ClientConnectionTracker connections)
+            throws IOException {
         PlatformHandler platform = new PlatformHandler(
                 requestProxy,
                 bodyReader,
@@ -66,12 +73,14 @@
                 messagesApiKinds().isEmpty() ? BodyPolicy.FORWARD_UNREAD : BodyPolicy.TRANSLATE,
                 readiness::readiness);
         if (messages == null) {
-            platformAddress = listeners.open(configuration.listenAddress(), platform, maxConnections);
+            ConnectionQuota quota =
+                    connections.divideAmongFronts(PLATFORM_LISTENER).get(0);
+            platformAddress = listeners.open(configuration.listenAddress(), platform, quota);
             return;
         }
-        platformAddress = listeners.open(configuration.listenAddress(), platform, maxConnections / 2);
-        messagesAddress =
-                listeners.open(messages.listenAddress(), createBrokerHandler(requestProxy), maxConnections / 2);
+        List<ConnectionQuota> quotas = connections.divideAmongFronts(PLATFORM_LISTENER, MESSAGES_LISTENER);
+        platformAddress = listeners.open(configuration.listenAddress(), platform, quotas.get(0));
+        messagesAddress = listeners.open(messages.listenAddress(), createBrokerHandler(requestProxy), quotas.get(1));
     }
 
     private BrokerHandler createBrokerHandler(RequestProxy requestProxy) throws IOException {
--- a/node/src/main/java/fawnlb/server/HttpListeners.java
+++ b/node/src/main/java/fawnlb/server/HttpListeners.java
@@ -2,16 +2,21 @@
 
 import fawnlb.client.ClientConnectionTracker;
 import fawnlb.client.ClientRequestHandler;
+import fawnlb.client.ConnectionQuota;
 import fawnlb.client.Listener;
 import fawnlb.client.ListenerGroup;
 import fawnlb.http.RequestHeadValidator;
+import fawnlb.metrics.Metric;
+import fawnlb.metrics.Metrics;
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
 
 /**
  * Sets up the server's HTTP listeners, with their limits on heads and sockets. It is used on the thread that starts the
@@ -46,22 +51,43 @@
     /**
      * Binds a listener, starts to accept connections, and returns the address that it has been bound to.
      *
-     * @param maxConnections how many connections of this listener may be open; those beyond wait in the kernel's queue
+     * @param quota what the listener may hold of the connections; those beyond wait in the kernel's queue
      * @throws IOException if the address cannot be bound within the time that {@link StartupRetry} allows
      */
-    InetSocketAddress open(InetSocketAddress address, HttpHandler handler, int maxConnections) throws IOException {
-        HttpOpenListener httpListener = createHttpListener(handler);
-        Listener.Limits limits =
-                new Listener.Limits(maxConnections, LISTEN_BACKLOG_CONNECTIONS, CLIENT_SEND_BUFFER_BYTES);
-        Listener.ConnectionHandler connectionHandler =
-                (connection, queuedNanos) -> connections.accept(connection, queuedNanos, httpListener);
+    InetSocketAddress open(InetSocketAddress address, HttpHandler handler, ConnectionQuota quota) throws IOException {
+        Listener.SocketOptions options =
+                new Listener.SocketOptions(LISTEN_BACKLOG_CONNECTIONS, CLIENT_SEND_BUFFER_BYTES);
+        Listener.ConnectionHandler connectionHandler = createConnectionHandler(createHttpListener(handler), quota);
         Listener listener = startupRetry.run(
-                address.toString(), () -> new Listener(address, limits, eventLoop.timers(), connectionHandler));
+                address.toString(), () -> new Listener(address, options, eventLoop.timers(), connectionHandler));
+        Metrics.registerGauge(
+                Metric.LISTENER_STOPPED,
+                quota.listener(),
+                () -> TimeUnit.NANOSECONDS.toMillis(listener.stoppedNanos()));
         listener.start(eventLoop.thread());
         listeners.add(listener);
         return listener.address();
     }
 
+    private Listener.ConnectionHandler createConnectionHandler(HttpOpenListener httpListener, ConnectionQuota quota) {
+        return new Listener.ConnectionHandler() {
+            @Override
+            public boolean hasRoom() {
+                return connections.hasRoom(quota);
+            }
+
+            @Override
+            public void whenRoom(Runnable task) {
+                connections.whenRoom(task);
+            }
+
+            @Override
+            public void onAccepted(StreamConnection connection, long queuedNanos) {
+                connections.accept(connection, quota, queuedNanos, httpListener);
+            }
+        };
+    }
+
     private HttpOpenListener createHttpListener(HttpHandler handler) {
         HttpOpenListener httpListener = new HttpOpenListener(
                 new DefaultByteBufferPool(true, IO_BUFFER_BYTES, MAX_POOLED_BUFFERS, 0),
--- a/node/src/main/java/fawnlb/server/Server.java
+++ b/node/src/main/java/fawnlb/server/Server.java
@@ -3,6 +3,7 @@
 import fawnlb.admin.AdminHandler;
 import fawnlb.backend.BackendPool;
 import fawnlb.client.ClientConnectionTracker;
+import fawnlb.client.ConnectionQuota;
 import fawnlb.config.MessagesConfiguration;
 import fawnlb.config.ServerConfiguration;
 import fawnlb.config.StartupConfiguration;
@@ -35,6 +36,7 @@
  */
 public final class Server {
     private static final Logger LOG = Logger.getLogger(Server.class.getName());
+    private static final String ADMIN_LISTENER = "admin";
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /**
      * How long a connection to a backend stays unused between two requests. A faulty backend sends a second response
@@ -106,7 +108,7 @@
         ReadinessGate readiness = new ReadinessGate(eventLoop.timers());
         startRequestProxy(backends, restored, readiness, memory);
         fronts = new Fronts(configuration, messages, eventLoop, listeners, bodyReader);
-        fronts.open(requestProxy, readiness, connections.maxAcceptedConnections());
+        fronts.open(requestProxy, readiness, connections);
         openAdminListener(new AdminHandler(streams, backends::describeAddress));
         eventLoop.startWatchdog();
         gracefulShutdown = new GracefulShutdown(eventLoop, readiness, listeners, connections, requestProxy);
@@ -209,7 +211,8 @@
 
     private void openAdminListener(AdminHandler admin) throws IOException {
         if (streaming.adminAddress() != null) {
-            adminAddress = listeners.open(streaming.adminAddress(), admin, DescriptorBudget.MAX_ADMIN_CONNECTIONS);
+            ConnectionQuota quota = connections.reserveFor(ADMIN_LISTENER, DescriptorBudget.MAX_ADMIN_CONNECTIONS);
+            adminAddress = listeners.open(streaming.adminAddress(), admin, quota);
         }
         if (streaming.statisticsLogIntervalNanos() > 0) {
             admin.scheduleStatisticsLog(streaming.statisticsLogIntervalNanos(), eventLoop.timers());
--- a/node/src/main/java/org/xnio/nio/ListeningSocket.java
+++ b/node/src/main/java/org/xnio/nio/ListeningSocket.java
@@ -59,14 +59,10 @@
         getSelectionKey().cancel();
     }
 
-    /**
-     * Creates a connection on the I/O thread from an accepted, non-blocking socket.
-     *
-     * @param onClosed runs once when the connection has closed
-     */
-    public StreamConnection openConnection(SocketChannel accepted, Runnable onClosed) throws IOException {
+    /** Creates a connection on the I/O thread from an accepted, non-blocking socket. */
+    public StreamConnection openConnection(SocketChannel accepted) throws IOException {
         SelectionKey key = getWorkerThread().registerChannel(accepted);
-        NioSocketStreamConnection connection = new NioSocketStreamConnection(getWorkerThread(), key, onClosed::run);
+        NioSocketStreamConnection connection = new NioSocketStreamConnection(getWorkerThread(), key, null);
         key.attach(connection.getConduit());
         return connection;
     }
--- a/node/src/test/java/fawnlb/client/ListenerTest.java
+++ b/node/src/test/java/fawnlb/client/ListenerTest.java
@@ -51,14 +51,44 @@
     public void bindListener() throws Exception {
         timers = new EventLoopTimers(ioThread.thread());
         channel = Listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
-        createListener(CLIENTS);
+        createListener(new AcceptedConnections(CLIENTS));
     }
 
-    private static Listener.Limits limits(int maxConnections) {
-        return new Listener.Limits(maxConnections, BACKLOG, SEND_BUFFER_BYTES);
+    /** Has room for as many connections as a test allows, and collects those that were accepted. */
+    private class AcceptedConnections implements Listener.ConnectionHandler {
+        private final int maxConnections;
+        private int openConnections;
+        private Runnable waiting = () -> {};
+
+        AcceptedConnections(int maxConnections) {
+            this.maxConnections = maxConnections;
+        }
+
+        @Override
+        public boolean hasRoom() {
+            return openConnections < maxConnections;
+        }
+
+        @Override
+        public void whenRoom(Runnable task) {
+            waiting = task;
+        }
+
+        @Override
+        public void onAccepted(StreamConnection connection, long queuedNanos) {
+            openConnections++;
+            queueingDelaysNanos.add(queuedNanos);
+            accepted.add(connection);
+        }
+
+        void close(StreamConnection connection) {
+            IoUtils.safeClose(connection);
+            openConnections--;
+            waiting.run();
+        }
     }
 
-    private void createListener(int maxConnections) {
+    private void createListener(Listener.ConnectionHandler handler) {
         listener = new Listener(
                 channel,
                 () -> {
@@ -69,12 +99,9 @@
                     }
                     return channel.accept();
                 },
-                limits(maxConnections),
+                new Listener.SocketOptions(BACKLOG, SEND_BUFFER_BYTES),
                 timers,
-                (connection, queuedNanos) -> {
-                    queueingDelaysNanos.add(queuedNanos);
-                    accepted.add(connection);
-                });
+                handler);
     }
 
     @After
@@ -111,7 +138,7 @@
     public void failedAcceptsRetryAtFixedDelayAndLogOnce() throws Exception {
         ImmediateTimers immediateTimers = new ImmediateTimers(ioThread.thread());
         timers = immediateTimers;
-        createListener(CLIENTS);
+        createListener(new AcceptedConnections(CLIENTS));
         remainingFailures = 40;
         try (CapturedLog log = new CapturedLog(Listener.class.getName())) {
             connect(1);
@@ -160,7 +187,7 @@
     @Test
     public void queueingDelayCountsFromFirstFailedAccept() throws Exception {
         timers = new ImmediateTimers(ioThread.thread());
-        createListener(CLIENTS);
+        createListener(new AcceptedConnections(CLIENTS));
         remainingFailures = 7;
         connect(1);
         listener.start(ioThread.thread());
@@ -174,11 +201,14 @@
     @Test
     public void acceptsContinueAfterConnectionHandlerThrows() throws Exception {
         AtomicInteger handlerFailures = new AtomicInteger(1);
-        listener = new Listener(channel, null, limits(CLIENTS), timers, (connection, queuedNanos) -> {
-            if (handlerFailures.getAndDecrement() > 0) {
-                throw new IllegalStateException("meant to fail");
+        createListener(new AcceptedConnections(CLIENTS) {
+            @Override
+            public void onAccepted(StreamConnection connection, long queuedNanos) {
+                if (handlerFailures.getAndDecrement() > 0) {
+                    throw new IllegalStateException("meant to fail");
+                }
+                super.onAccepted(connection, queuedNanos);
             }
-            accepted.add(connection);
         });
         listener.start(ioThread.thread());
         connect(1);
@@ -188,13 +218,14 @@
 
     @Test
     public void connectionOverLimitIsAcceptedAfterAnotherCloses() throws Exception {
-        createListener(2);
+        AcceptedConnections connections = new AcceptedConnections(2);
+        createListener(connections);
         listener.start(ioThread.thread());
         connect(3);
         StreamConnection first = nextAccepted();
         nextAccepted();
         ioThread.run(() -> assertTrue("the third waits", accepted.isEmpty()));
-        ioThread.run(() -> IoUtils.safeClose(first));
+        ioThread.run(() -> connections.close(first));
         nextAccepted();
     }
 }
--- a/node/src/test/java/fawnlb/client/TrackerHarness.java
+++ b/node/src/test/java/fawnlb/client/TrackerHarness.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +41,7 @@
     private final BlockingQueue<StreamConnection> accepted = new LinkedBlockingQueue<>();
     private volatile Consumer<ClientConnectionTracker.RequestAdmission> admissionObserver = admission -> {};
     private ClientConnectionTracker tracker;
+    private List<ConnectionQuota> quotas;
     private AcceptingChannel<StreamConnection> server;
 
     @Override
@@ -71,7 +73,18 @@
                 new ClientConnectionTracker.Limits(maxConnections, IDLE_TIMEOUT_NANOS, REQUEST_HEAD_TIMEOUT_NANOS),
                 timers,
                 memory,
-                () -> false);
+                connections -> false);
+        quotas = tracker.divideAmongFronts("front");
+    }
+
+    /** Divides the connections among two listeners. Must be called before the first connection. */
+    void divideAmongTwoFronts() {
+        quotas = tracker.divideAmongFronts("first", "second");
+    }
+
+    /** The quota of a listener. */
+    ConnectionQuota quota(int listener) {
+        return quotas.get(listener);
     }
 
     /** Replaces the handler of requests, which is called after the tracker's. */
@@ -119,7 +132,12 @@
 
     /** Passes a connection to the tracker. Must be called on the I/O thread. */
     void track(StreamConnection connection) {
-        tracker.accept(connection, 0, requestReader);
+        track(connection, 0);
+    }
+
+    /** Passes a connection to the tracker as one of a listener. Must be called on the I/O thread. */
+    void track(StreamConnection connection, int listener) {
+        tracker.accept(connection, quotas.get(listener), 0, requestReader);
     }
 
     /** Passes the next accepted connection to the tracker. */
