Count a request's time from its first byte, not from its connection's accept

What callers saw: the first request of a connection lost the time for which the connection had been idle. Written 1.5 s after the connect with 2,250 ms, it was told to its backend with 747 ms; after 2.1 s it was refused.

Cause: client.ConnectionTable kept queuedSinceNanos from the accept until the first request, whenever the accept could have been late by anything at all, and startServing took the whole of it for a wait in the accept queue.

Evidence: FrontConnectionLimitTest.timeOfFirstRequestBeginsWithItsFirstByte on: "told 747 ms"; green now.

Change: bytes that have waited in the accept queue are there at the first read, which follows the accept in the same event. Where it brings nothing, the wait is dropped. A head that has begun there keeps it.

--- a/node/src/main/java/fawnlb/client/ClientConnectionTracker.java
+++ b/node/src/main/java/fawnlb/client/ClientConnectionTracker.java
@@ -131,6 +131,7 @@
         memory.add(connection);
         observeReads(connection);
         requestReader.handleEvent(connection);
+        connections.onFirstReadDone(connection);
         observeClose(connection);
         reservePartialHead(connection);
     }
--- a/node/src/main/java/fawnlb/client/ConnectionTable.java
+++ b/node/src/main/java/fawnlb/client/ConnectionTable.java
@@ -63,6 +63,14 @@
         }
     }
 
+    /** Must be called when the first read of a connection is done. What comes later has not waited for the accept. */
+    synchronized void onFirstReadDone(StreamConnection connection) {
+        Entry entry = entries.get(connection);
+        if (entry == null || entry.isIn(ConnectionState.IDLE)) {
+            queuedSinceNanos.remove(connection);
+        }
+    }
+
     /** Puts a connection into a state, unless it has been removed. */
     synchronized void enterIfPresent(StreamConnection connection, ConnectionState state) {
         Entry entry = entries.get(connection);
--- a/node/src/test/java/fawnlb/client/ConnectionTableTest.java
+++ b/node/src/test/java/fawnlb/client/ConnectionTableTest.java
@@ -70,6 +70,20 @@
         assertEquals(ConnectionTable.NOT_QUEUED, table.startServing(connection));
     }
 
+    /** Guards against a request's time that runs from the accept of a connection on which nothing had come. */
+    @Test
+    public void queueingDelayEndsWithFirstReadThatBringsNothing() throws Exception {
+        StreamConnection silent = createConnection();
+        StreamConnection begun = createConnection();
+        table.add(silent, quota, 500);
+        table.add(begun, quota, 500);
+        table.onBytesRead(begun);
+        table.onFirstReadDone(silent);
+        table.onFirstReadDone(begun);
+        assertEquals(ConnectionTable.NOT_QUEUED, table.startServing(silent));
+        assertTrue(table.startServing(begun) >= 500);
+    }
+
     @Test
     public void connectionsAreCountedAndFoundByQuota() throws Exception {
         StreamConnection first = createConnection();
--- a/node/src/test/java/fawnlb/server/FrontConnectionLimitTest.java
+++ b/node/src/test/java/fawnlb/server/FrontConnectionLimitTest.java
@@ -6,6 +6,7 @@
 import static fawnlb.server.Responses.COMPLETE_STREAM;
 import static fawnlb.server.Responses.DONE_EVENT;
 import static fawnlb.server.Responses.stream;
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
@@ -194,4 +195,20 @@
             assertTrue(metrics, metrics.contains("\nfawnlb_listener_stopped_milliseconds{listener=\"platform\"} 0\n"));
         }
     }
+
+    /** Guards against a start of the request's time at the accept of a connection that was idle until it came. */
+    @Test
+    public void timeOfFirstRequestBeginsWithItsFirstByte() throws Exception {
+        try (FakeHttpServer backend = FakeHttpServer.responding(COMPLETE_STREAM);
+                ServerHarness harness = start(backend);
+                Socket client = Front.PLATFORM.connect(harness)) {
+            TimeUnit.MILLISECONDS.sleep(1500);
+            write(client, chat("id", DEADLINE_MS));
+            String response = ServerHarness.readToResetOrEnd(client);
+            assertTrue(response, response.startsWith("HTTP/1.1 200"));
+            long deadlineMs = Long.parseLong(backend.requests.get(0).headers().get("x-deadline-ms"));
+            assertTrue("told " + deadlineMs + " ms", deadlineMs > DEADLINE_MS - 500);
+            assertEquals(1, backend.requests.size());
+        }
+    }
 }
