Count every event that is complete by its grammar as progress

The backend was ejected. In a translated stream such data without a name broke the stream off at once.

Cause: translation.EventScanner.endEvent counted an event only if its data was one JSON object, and stream.ProgressDetector waits from the last event that counts. ChatResponseDecoder and MessagesResponseDecoder read all data without a name as JSON.

Ruled out: the name (a JSON object under the same name is kept), the pause between events, writing slowly.

Change: an event with data is progress, whatever its name and its data are. Comments, unknown fields, events without data, and all framing stay as they were. An unnamed event is malformed only if its data begins as a JSON object and can't be read: to skip it could leave a hole in the answer. Data of ping and content_block_stop is not read. FirstEventBuffer asks it, so EventEndDetector is gone.

--- a/node/src/main/java/fawnlb/backend/RelayedBody.java
+++ b/node/src/main/java/fawnlb/backend/RelayedBody.java
@@ -64,10 +64,8 @@
                 ? EventProgress.NONE
                 : new EventProgress(
                         scanner.completedEvents(),
-                        scanner.hasEventEnd(),
                         scanner.largestEventBytes(),
                         scanner.partialEventBytes(),
-                        scanner.isPartialEventSound(),
                         scanner.isLastEventComplete());
     }
 
--- a/node/src/main/java/fawnlb/backend/StreamedBody.java
+++ b/node/src/main/java/fawnlb/backend/StreamedBody.java
@@ -24,7 +24,7 @@
     @Override
     ByteBuffer feed(ByteBuffer bytes) throws IOException {
         inspect(bytes);
-        return firstEventBuffer.feed(bytes);
+        return firstEventBuffer.feed(bytes, eventProgress().completedEvents() > 0);
     }
 
     @Override
--- a/node/src/main/java/fawnlb/stream/ProgressDetector.java
+++ b/node/src/main/java/fawnlb/stream/ProgressDetector.java
@@ -2,9 +2,9 @@
 
 /**
  * Decides how long a client may wait for the next event of its answer while its backend sends bytes. Only a complete
- * event starts a new wait. Parts of a sound event or of the size line of a chunk prolong it, as long as they come at
- * the pace of a message that is being written slowly, and within bounds of size and time. All other bytes prolong
- * nothing. Belongs to its stream.
+ * event starts a new wait, whatever its name and data are. Parts of an event or of the size line of a chunk prolong it,
+ * as long as they come at the pace of a message that is being written slowly, and within bounds of size and time. All
+ * other bytes prolong nothing. Belongs to its stream.
  */
 final class ProgressDetector {
     private static final long MILLISECOND_NANOS = 1_000_000;
@@ -73,9 +73,6 @@
         if (latest.completedEvents() > 0) {
             restart(nowNanos);
         }
-        if (latest.hasEventEnd()) {
-            bytesSinceEvent = 0;
-        }
         if (newBytes > 0) {
             lastEventByteNanos = nowNanos;
             if (isWithinEventBounds()) {
@@ -88,9 +85,7 @@
         int maxBytes = progress.largestEventBytes() == 0
                 ? MAX_SLOW_FIRST_EVENT_BYTES
                 : Math.max(MIN_SLOW_EVENT_BYTES, SLOW_EVENT_GROWTH * progress.largestEventBytes());
-        return progress.isPartialEventSound()
-                && !progress.isLastEventComplete()
-                && progress.partialEventBytes() <= maxBytes;
+        return !progress.isLastEventComplete() && progress.partialEventBytes() <= maxBytes;
     }
 
     /**
--- a/node/src/main/java/fawnlb/stream/ResponseStream.java
+++ b/node/src/main/java/fawnlb/stream/ResponseStream.java
@@ -129,7 +129,7 @@
     /** Bytes for the client were read. The backend is not waited for until the client has read them. */
     public void onChunk(long nowNanos, int bytes, EventProgress events) {
         takeEvents(nowNanos, events);
-        if (!events.hasEventEnd()) {
+        if (events.completedEvents() == 0) {
             eventProgress.onRelayedWithoutEvent(bytes);
         }
         silence.recordChunk(nowNanos, progress);
--- a/node/src/main/java/fawnlb/translation/ChatResponseDecoder.java
+++ b/node/src/main/java/fawnlb/translation/ChatResponseDecoder.java
@@ -7,7 +7,6 @@
 /** Decodes responses of the chat dialect. */
 final class ChatResponseDecoder implements ResponseDecoder {
     private static final String FINAL_EVENT_DATA = "[DONE]";
-    private static final String DEFAULT_EVENT_NAME = "message";
 
     private boolean started;
     private String finishReason = FinishReason.END_TURN;
@@ -15,12 +14,15 @@
 
     @Override
     public List<ResponseDelta> decodeEvent(SseParser.Event event) throws IOException {
-        if (!event.name().isEmpty() && !event.name().equals(DEFAULT_EVENT_NAME)) {
+        if (!event.name().isEmpty() && !event.name().equals(SseParser.DEFAULT_EVENT_NAME)) {
             return List.of(new ResponseDelta.Unrecognized());
         }
         if (event.data().equals(FINAL_EVENT_DATA)) {
             return List.of(new ResponseDelta.Finish(finishReason, usage), new ResponseDelta.End());
         }
+        if (!FlatJson.beginsObject(event.data())) {
+            return List.of(new ResponseDelta.Unrecognized());
+        }
         FlatJson json = FlatJson.parse(event.data());
         if (json.has("error")) {
             return List.of(ResponseDecoder.failure(json));
--- a/node/src/main/java/fawnlb/translation/FirstEventBuffer.java
+++ b/node/src/main/java/fawnlb/translation/FirstEventBuffer.java
@@ -11,29 +11,28 @@
     /** A growing buffer may be twice as large as its content. */
     private static final int MAX_BUFFER_GROWTH = 2;
 
-    private final EventEndDetector eventEnd = new EventEndDetector();
     /** The bytes that are withheld; null after their release. */
     private ByteArrayOutputStream pending = new ByteArrayOutputStream(0);
 
     /**
      * Takes the next bytes of the stream.
      *
+     * @param completesEvent whether an event ends within them
      * @return what may be forwarded: nothing before the first event is complete, then all bytes so far, then the bytes
      *     as given
      * @throws MalformedResponseBodyException if the first event exceeds the size limit for events
      */
-    public ByteBuffer feed(ByteBuffer bytes) throws MalformedResponseBodyException {
+    public ByteBuffer feed(ByteBuffer bytes, boolean completesEvent) throws MalformedResponseBodyException {
         if (pending == null) {
             return bytes;
         }
         if (pending.size() + bytes.remaining() > SseParser.MAX_EVENT_BYTES) {
             throw new MalformedResponseBodyException("no event in " + SseParser.MAX_EVENT_BYTES + " bytes");
         }
-        boolean isComplete = eventEnd.endsWithin(bytes);
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
         pending.writeBytes(copy);
-        return isComplete ? release() : ByteBuffer.allocate(0);
+        return completesEvent ? release() : ByteBuffer.allocate(0);
     }
 
     /** Returns the withheld bytes and withholds no more, for a caller that can't wait for the event's end. */
--- a/node/src/main/java/fawnlb/translation/FlatJson.java
+++ b/node/src/main/java/fawnlb/translation/FlatJson.java
@@ -23,6 +23,14 @@
 
     private FlatJson() {}
 
+    /**
+     * Returns whether a text begins as a JSON object does. An unnamed event that does is one of the dialect, perhaps
+     * with a part of the answer, and malformed if it can't be read; any other one is of a kind that is not known.
+     */
+    static boolean beginsObject(String text) {
+        return text.stripLeading().startsWith("{");
+    }
+
     static FlatJson parse(byte[] json) throws MalformedJsonException {
         try (JsonParser parser = JsonText.FACTORY.createParser(json)) {
             return parse(parser);
--- a/node/src/main/java/fawnlb/translation/MessagesResponseDecoder.java
+++ b/node/src/main/java/fawnlb/translation/MessagesResponseDecoder.java
@@ -8,14 +8,10 @@
 /** Decodes responses of the messages dialect. */
 final class MessagesResponseDecoder implements ResponseDecoder {
     private static final Set<String> EVENT_NAMES = Set.of(
-            "message_start",
-            "content_block_start",
-            "content_block_delta",
-            "content_block_stop",
-            "message_delta",
-            "message_stop",
-            "ping",
-            "error");
+            "message_start", "content_block_start", "content_block_delta", "message_delta", "message_stop", "error");
+    /** Events that say nothing of the answer, whatever their data is. */
+    private static final Set<String> IGNORED_EVENT_NAMES = Set.of("content_block_stop", "ping");
+
     private static final ResponseDelta UNRECOGNIZED = new ResponseDelta.Unrecognized();
     private static final ResponseDelta IGNORED = new ResponseDelta.Ignored();
 
@@ -23,15 +19,22 @@
 
     @Override
     public List<ResponseDelta> decodeEvent(SseParser.Event event) throws IOException {
-        if (!event.name().isEmpty()) {
-            // Events of unknown names are skipped whatever their data is.
-            return EVENT_NAMES.contains(event.name())
-                    ? List.of(decode(event.name(), FlatJson.parse(event.data())))
-                    : List.of(UNRECOGNIZED);
+        return List.of(event.name().isEmpty() ? decodeUnnamed(event.data()) : decodeNamed(event));
+    }
+
+    private ResponseDelta decodeNamed(SseParser.Event event) throws IOException {
+        if (EVENT_NAMES.contains(event.name())) {
+            return decode(event.name(), FlatJson.parse(event.data()));
+        }
+        return IGNORED_EVENT_NAMES.contains(event.name()) ? IGNORED : UNRECOGNIZED;
+    }
+
+    private ResponseDelta decodeUnnamed(String data) throws IOException {
+        if (!FlatJson.beginsObject(data)) {
+            return UNRECOGNIZED;
         }
-        FlatJson json = FlatJson.parse(event.data());
-        String type = json.text("type", "");
-        return List.of(EVENT_NAMES.contains(type) ? decode(type, json) : UNRECOGNIZED);
+        FlatJson json = FlatJson.parse(data);
+        return decode(json.text("type", ""), json);
     }
 
     private ResponseDelta decode(String eventName, FlatJson json) {
@@ -42,7 +45,8 @@
             case "message_delta" -> decodeFinish(json, "delta.stop_reason");
             case "message_stop" -> new ResponseDelta.End();
             case "error" -> ResponseDecoder.failure(json);
-            default -> IGNORED;
+            case "content_block_stop", "ping" -> IGNORED;
+            default -> UNRECOGNIZED;
         };
     }
 
--- a/node/src/main/java/fawnlb/translation/SseParser.java
+++ b/node/src/main/java/fawnlb/translation/SseParser.java
@@ -26,6 +26,9 @@
      */
     record Event(String name, String data) {}
 
+    /** The name that an event without a name has by the grammar. */
+    static final String DEFAULT_EVENT_NAME = "message";
+
     private ByteArrayOutputStream currentLine = new ByteArrayOutputStream();
     private boolean skipLineFeed;
     private String eventName = "";
--- a/node/src/test/java/fawnlb/backend/RelayedBodyTest.java
+++ b/node/src/test/java/fawnlb/backend/RelayedBodyTest.java
@@ -55,6 +55,7 @@
     private String feed(RelayedBody body, String text) throws IOException {
         ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
         tail.add(bytes);
+        body.scan(bytes);
         return decode(body.feed(bytes));
     }
 
