Keep an attempt whose skipped events still come in the wait for its first event

What callers would see: a translated stream that begins with events which the client does not get was given up at the learned wait for a first event, and its request went to another backend, although events came.

Cause: stream.ResponseStream.silenceLimitNanos knew only whether an event had begun and was not complete; an event that was complete and left out was as good as silence.

Evidence: SilenceDetectorTest.skippedEventsBeforeTheFirstOneAreNoSilence, red without the change, green with it.

Change: once an event is complete, the learned wait ends the attempt no more; 4.5 s without an event and the attempt's deadline do.

--- a/node/src/main/java/fawnlb/stream/ProgressDetector.java
+++ b/node/src/main/java/fawnlb/stream/ProgressDetector.java
@@ -35,6 +35,7 @@
     private long lastEventNanos;
     private long bytesSinceEvent;
     private EventProgress progress = EventProgress.NONE;
+    private boolean hasCompletedEvent;
     private int framingBytes;
     private boolean hasParts;
     /** When the parts began that came without a longer gap between them, and when the latest of them came. */
@@ -71,6 +72,7 @@
         int newBytes = latest.partialEventBytes() - (isSameEvent ? progress.partialEventBytes() : 0);
         progress = latest;
         if (latest.completedEvents() > 0) {
+            hasCompletedEvent = true;
             restart(nowNanos);
         }
         if (newBytes > 0) {
@@ -130,6 +132,11 @@
         return hasPartialEvent() && nowNanos - lastEventByteNanos <= MAX_PART_GAP_NANOS;
     }
 
+    /** Whether an event is complete or has begun, be it one that the client gets or not. */
+    boolean hasEvent() {
+        return hasCompletedEvent || hasPartialEvent();
+    }
+
     /** Whether an event has begun and is not complete. */
     boolean hasPartialEvent() {
         return progress.partialEventBytes() > 0;
--- a/node/src/main/java/fawnlb/stream/ResponseStream.java
+++ b/node/src/main/java/fawnlb/stream/ResponseStream.java
@@ -287,7 +287,7 @@
     }
 
     private long silenceLimitNanos() {
-        return silence.limitNanos(progress, isEventStream ? eventProgress.hasPartialEvent() : bufferedBytes != 0);
+        return silence.limitNanos(progress, isEventStream ? eventProgress.hasEvent() : bufferedBytes != 0);
     }
 
     private long eventLimitNanos() {
--- a/node/src/test/java/fawnlb/stream/SilenceDetectorTest.java
+++ b/node/src/test/java/fawnlb/stream/SilenceDetectorTest.java
@@ -287,6 +287,24 @@
         assertEquals("a silence ends it all the same", List.of(EndReason.STALLED), harness.endReasons);
     }
 
+    /** Guards against a second attempt while the first one's backend sends events that the client does not get. */
+    @Test
+    public void skippedEventsBeforeTheFirstOneAreNoSilence() {
+        harness.trainSteadyBackends(5);
+        ResponseStream stream = harness.openStream(1);
+        long usualWaitNanos = stream.wakeAtNanos() - startNanos;
+        long at = startNanos + 200 * MILLISECOND_NANOS;
+        stream.onHead(at, true);
+        for (; at < startNanos + 3 * usualWaitNanos; at += 300 * MILLISECOND_NANOS) {
+            stream.onPartialData(at, StreamHarness.ONE_EVENT);
+            wakeUntil(stream, at + 300 * MILLISECOND_NANOS);
+        }
+        assertEquals(List.of(), harness.endReasons);
+
+        wakeUntil(stream, at + 5 * SECOND_NANOS);
+        assertEquals("a silence ends it all the same", List.of(EndReason.STALLED), harness.endReasons);
+    }
+
     /** An instance of a large fleet meets most prompt lengths for the first time, and knows no usual wait for them. */
     @Test
     public void promptOfUnknownLengthHasNoFirstEventTimeout() {
