Take an answer for complete with its last event, whatever follows it

What callers would see: over 1 KiB of events behind an answer's last one made it cut-short-midway in the same dialect, and a malformed event there broke off a translated one.

Cause: backend.StreamedBody.finish looked for the last event in the response's last 1,024 bytes alone (ResponseTail), and translation.StreamTranslator decoded events behind the final one before it dropped them.

Evidence: RelayedBodyTest.streamIsCompleteWhateverFollowsItsLastEvent and ResponseTranslatorTest.nothingBehindTheFinalEventIsRead, red without the change, green with it.

Change: the event scanner, which has seen the whole stream, says that its last event has come; the tail still counts for streams that end without the blank line behind it. Nothing behind the final event is decoded.

--- a/node/src/main/java/fawnlb/backend/AttemptReporter.java
+++ b/node/src/main/java/fawnlb/backend/AttemptReporter.java
@@ -50,7 +50,7 @@
     /** Records what the body has shown of its usage, before the end is reported. */
     void recordUsage(RelayedBody body) {
         OutboundRequest.ResponseSummary summary = request.responseSummary();
-        boolean hasLastEvent = summary.collectsUsage() && tail.hasLastEvent(backend.dialect());
+        boolean hasLastEvent = summary.collectsUsage() && (body.hasLastEvent() || tail.hasLastEvent(backend.dialect()));
         summary.recordUsage(backend.dialect(), body.unrecognizedEvents(), body.totalTokens(), hasLastEvent);
     }
 
--- a/node/src/main/java/fawnlb/backend/RelayedBody.java
+++ b/node/src/main/java/fawnlb/backend/RelayedBody.java
@@ -50,6 +50,11 @@
                 : new BufferedBody(usageParser);
     }
 
+    /** Whether the last event of a stream has come. */
+    final boolean hasLastEvent() {
+        return scanner != null && scanner.isLastEventComplete();
+    }
+
     /** Looks at the next bytes of the backend, before {@link #feed}, and returns how far the events have come. */
     final EventProgress scan(ByteBuffer bytes) {
         if (scanner != null) {
--- a/node/src/main/java/fawnlb/backend/StreamedBody.java
+++ b/node/src/main/java/fawnlb/backend/StreamedBody.java
@@ -29,7 +29,7 @@
 
     @Override
     ByteBuffer finish() throws IOException {
-        if (!tail.hasLastEvent(dialect)) {
+        if (!hasLastEvent() && !tail.hasLastEvent(dialect)) {
             throw new MalformedResponseBodyException("the answer has no last event");
         }
         return empty();
--- a/node/src/main/java/fawnlb/translation/StreamTranslator.java
+++ b/node/src/main/java/fawnlb/translation/StreamTranslator.java
@@ -19,18 +19,23 @@
     public ByteBuffer feed(ByteBuffer bytes) throws IOException {
         StringBuilder encoded = new StringBuilder();
         for (SseParser.Event event : parser.feed(bytes)) {
+            encoded.append(translate(event));
+        }
+        return utf8(encoded.toString());
+    }
+
+    /** What follows the final event is no part of the response. */
+    private String translate(SseParser.Event event) throws IOException {
+        StringBuilder encoded = new StringBuilder();
+        if (!ended) {
             for (ResponseDelta delta : decoder.decodeEvent(event)) {
                 encoded.append(translate(delta));
             }
         }
-        return utf8(encoded.toString());
+        return encoded.toString();
     }
 
-    /** What follows the final event is no part of the response. */
     private String translate(ResponseDelta delta) {
-        if (ended) {
-            return "";
-        }
         ended = delta instanceof ResponseDelta.End;
         recordDelta(delta);
         return encoder.encodeEvents(delta);
--- a/node/src/test/java/fawnlb/backend/RelayedBodyTest.java
+++ b/node/src/test/java/fawnlb/backend/RelayedBodyTest.java
@@ -96,6 +96,16 @@
         assertEquals("", decode(body.finish()));
     }
 
+    /** Guards against a complete answer that counts as cut short for the unknown events behind its last one. */
+    @Test
+    public void streamIsCompleteWhateverFollowsItsLastEvent() throws IOException {
+        RelayedBody body = answer(streamedRequest(Dialect.CHAT));
+        feed(body, EVENT + LAST_EVENT);
+        feed(body, "event: box.summary\ndata: " + "x".repeat(2000) + "\n\n");
+
+        assertEquals("", decode(body.finish()));
+    }
+
     @Test
     public void streamWithoutLastEventIsMalformed() throws IOException {
         RelayedBody body = answer(streamedRequest(Dialect.CHAT));
--- a/node/src/test/java/fawnlb/translation/ResponseTranslatorTest.java
+++ b/node/src/test/java/fawnlb/translation/ResponseTranslatorTest.java
@@ -125,6 +125,17 @@
         assertEquals(4, translator.unrecognizedEvents());
     }
 
+    @Test
+    public void nothingBehindTheFinalEventIsRead() throws IOException {
+        for (Response stream : STREAMS) {
+            ResponseTranslator translator = ResponseTranslator.forStream(
+                    stream.dialect(), stream.dialect().other());
+
+            translate(translator, stream.text() + "data: {\"choices\":[\n\n", ANY_CHUNK_SIZE);
+            translator.finish();
+        }
+    }
+
     @Test
     public void truncatedStreamNeverEmitsFinalEvent() throws IOException {
         for (Response stream : STREAMS) {
