--- a/node/src/main/java/fawnlb/eventloop/EventLoopLag.java
+++ b/node/src/main/java/fawnlb/eventloop/EventLoopLag.java
@@ -1,6 +1,9 @@
 package fawnlb.eventloop;
 
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /**
  * Measures for how long bytes may have waited for the event loop before it read them. The loop looks at its sockets
@@ -12,6 +15,8 @@
     /** A pause between two rounds that is shorter than this counts as none: bytes may have arrived before it. */
     private static final long MIN_IDLE_WAIT_NANOS = 20_000_000;
 
+    private static final Logger LOG = Logger.getLogger(EventLoopLag.class.getName());
+
     private final Executor eventLoop;
     private final Timers timers;
     private boolean inRound;
@@ -38,7 +43,16 @@
         earliestArrivalAt = wasIdle ? now : roundStartedAt;
         roundStartedAt = now;
         // The second hand-over puts the end of the round behind the tasks that this round's handlers leave.
-        eventLoop.execute(() -> eventLoop.execute(this::onRoundEnded));
+        executeUnlessTerminating(() -> executeUnlessTerminating(this::onRoundEnded));
+    }
+
+    /** A loop that is terminating takes no tasks, and runs no further round. */
+    private void executeUnlessTerminating(Runnable task) {
+        try {
+            eventLoop.execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.log(Level.FINE, "event loop is terminating", e);
+        }
     }
 
     private void onRoundEnded() {
--- a/node/src/test/java/fawnlb/eventloop/EventLoopLagTest.java
+++ b/node/src/test/java/fawnlb/eventloop/EventLoopLagTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.RejectedExecutionException;
 import org.junit.Test;
 
 public class EventLoopLagTest {
@@ -11,7 +12,7 @@
 
     private final Queue<Runnable> tasks = new ArrayDeque<>();
     private long now = 1000 * MS;
-    private final EventLoopLag lag = new EventLoopLag(tasks::add, new Timers() {
+    private final Timers timers = new Timers() {
         @Override
         public long now() {
             return now;
@@ -21,7 +22,8 @@
         public Timer schedule(long delayNanos, Runnable task) {
             throw new UnsupportedOperationException();
         }
-    });
+    };
+    private final EventLoopLag lag = new EventLoopLag(tasks::add, timers);
 
     private void runTasks() {
         while (!tasks.isEmpty()) {
@@ -73,4 +75,17 @@
         runRound(300 * MS);
         assertEquals(0, lag.maxQueuedNanos());
     }
+
+    /** Guards against a stack trace for each event loop that ends while a round is open. */
+    @Test
+    public void terminatingLoopTakesNoTasks() {
+        EventLoopLag terminating = new EventLoopLag(
+                task -> {
+                    throw new RejectedExecutionException("terminating");
+                },
+                timers);
+        terminating.onSocketEvent();
+        now += 5 * MS;
+        assertEquals(5 * MS, terminating.maxQueuedNanos());
+    }
 }
