Look at the accept queue again when no event says that it is empty

What callers would see: a client that connected a minute after a burst of others got 503 at once, without an attempt.

Cause: client.Listener counts how long the accept queue has not been found empty, and takes that for the wait of the next connection. After a batch of 32 accepts that emptied the queue, or a stop for want of room while nobody waited, there was no event that found it empty.

Evidence: ListenerTest.connectionLongAfterFullBatchHasNotWaited, red without the change: a wait of 60,000,000,000 ns for a client that came 60 s after a burst of 32.

--- a/node/src/main/java/fawnlb/client/Listener.java
+++ b/node/src/main/java/fawnlb/client/Listener.java
@@ -91,7 +91,7 @@
     /** Since when no connection has been accepted for want of room. */
     private long stoppedSinceNanos = NOT_STOPPED;
 
-    private boolean isRetryScheduled;
+    private boolean isCheckScheduled;
     private boolean isWaitingForRoom;
     private boolean closing;
 
@@ -152,21 +152,34 @@
             return;
         }
         timers.onSocketEvent();
-        AcceptResult result = accept(MAX_ACCEPTS_PER_EVENT);
-        if (result == AcceptResult.NO_ROOM) {
-            stopUntilRoom();
-        } else if (result == AcceptResult.FAILED) {
-            socket.suspendAccepts();
-            scheduleRetry();
+        acceptBatch();
+    }
+
+    private void acceptBatch() {
+        switch (accept(MAX_ACCEPTS_PER_EVENT)) {
+            case QUEUE_EMPTY -> resumeAccepts();
+            case BATCH_COMPLETE -> {
+                resumeAccepts();
+                scheduleCheck(NEXT_POLL_NANOS);
+            }
+            case NO_ROOM -> stopUntilRoom();
+            case FAILED -> {
+                socket.suspendAccepts();
+                scheduleCheck(ACCEPT_RETRY_DELAY_NANOS);
+            }
         }
     }
 
-    /** A connection may be closed at any time by its own timeouts, so that room is looked for again without a call. */
     private void stopUntilRoom() {
         socket.suspendAccepts();
         if (stoppedSinceNanos == NOT_STOPPED) {
             stoppedSinceNanos = timers.now();
         }
+        if (stoppedNanos() >= ACCEPT_RETRY_DELAY_NANOS) {
+            noRoomLog.log(() -> LogLine.event("listener stopped")
+                    .with("address", address().toString())
+                    .elapsedNanos(stoppedNanos()));
+        }
         if (!isWaitingForRoom) {
             isWaitingForRoom = true;
             connectionHandler.whenRoom(() -> {
@@ -174,25 +187,25 @@
                 resumeAccepts();
             });
         }
-        scheduleRetry();
+        scheduleCheck(ACCEPT_RETRY_DELAY_NANOS);
     }
 
-    private void scheduleRetry() {
-        if (!isRetryScheduled) {
-            isRetryScheduled = true;
-            timers.schedule(ACCEPT_RETRY_DELAY_NANOS, this::retry);
+    /**
+     * Looks at the accept queue again without an event of the socket. There is none if the queue has become empty, and
+     * what comes later has not waited since now. Room may also come without a call.
+     */
+    private void scheduleCheck(long delayNanos) {
+        if (!isCheckScheduled) {
+            isCheckScheduled = true;
+            timers.schedule(delayNanos, this::check);
         }
     }
 
-    private void retry() {
-        isRetryScheduled = false;
-        long stoppedNanos = stoppedNanos();
-        if (stoppedNanos >= ACCEPT_RETRY_DELAY_NANOS) {
-            noRoomLog.log(() -> LogLine.event("listener stopped")
-                    .with("address", address().toString())
-                    .elapsedNanos(stoppedNanos));
+    private void check() {
+        isCheckScheduled = false;
+        if (!closing) {
+            acceptBatch();
         }
-        resumeAccepts();
     }
 
     private void resumeAccepts() {
--- a/node/src/test/java/fawnlb/client/ImmediateTimers.java
+++ b/node/src/test/java/fawnlb/client/ImmediateTimers.java
@@ -31,6 +31,11 @@
         return eventLoopTimers.schedule(0, task);
     }
 
+    /** Moves the clock on. */
+    void advance(long nanos) {
+        nowNanos.addAndGet(nanos);
+    }
+
     /** The delays of all tasks that were scheduled, in order. */
     List<Long> delaysNanos() {
         return delaysNanos;
--- a/node/src/test/java/fawnlb/client/ListenerTest.java
+++ b/node/src/test/java/fawnlb/client/ListenerTest.java
@@ -198,6 +198,25 @@
         assertEquals(List.of(7 * Listener.ACCEPT_RETRY_DELAY_NANOS, 0L), queueingDelaysNanos);
     }
 
+    /** Guards against requests that count as late since a burst some time ago has filled one batch of accepts. */
+    @Test
+    public void connectionLongAfterFullBatchHasNotWaited() throws Exception {
+        ImmediateTimers immediateTimers = new ImmediateTimers(ioThread.thread());
+        timers = immediateTimers;
+        createListener(new AcceptedConnections(CLIENTS));
+        connect(Listener.MAX_ACCEPTS_PER_EVENT);
+        listener.start(ioThread.thread());
+        for (int i = 0; i < Listener.MAX_ACCEPTS_PER_EVENT; i++) {
+            nextAccepted();
+        }
+        ioThread.run(() -> {});
+        ioThread.run(() -> {});
+        immediateTimers.advance(TimeUnit.SECONDS.toNanos(60));
+        connect(1);
+        nextAccepted();
+        assertEquals(0L, (long) queueingDelaysNanos.get(Listener.MAX_ACCEPTS_PER_EVENT));
+    }
+
     @Test
     public void acceptsContinueAfterConnectionHandlerThrows() throws Exception {
         AtomicInteger handlerFailures = new AtomicInteger(1);
