--- a/node/src/main/java/fawnlb/eventloop/EventLoopLag.java
+++ b/node/src/main/java/fawnlb/eventloop/EventLoopLag.java
@@ -2,8 +2,6 @@
 
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 
 /**
  * Measures for how long bytes may have waited for the event loop before it read them. The loop looks at its sockets
@@ -15,8 +13,6 @@
     /** A pause between two rounds that is shorter than this counts as none: bytes may have arrived before it. */
     private static final long MIN_IDLE_WAIT_NANOS = 20_000_000;
 
-    private static final Logger LOG = Logger.getLogger(EventLoopLag.class.getName());
-
     private final Executor eventLoop;
     private final Timers timers;
     private boolean inRound;
@@ -46,12 +42,11 @@
         executeUnlessTerminating(() -> executeUnlessTerminating(this::onRoundEnded));
     }
 
-    /** A loop that is terminating takes no tasks, and runs no further round. */
     private void executeUnlessTerminating(Runnable task) {
         try {
             eventLoop.execute(task);
         } catch (RejectedExecutionException e) {
-            LOG.log(Level.FINE, "event loop is terminating", e);
+            // The loop is terminating and runs no further round.
         }
     }
 
