Give each listener its own part of the accepts between two polls

What callers would see since: with 300 clients at each front that connect again whenever they are closed, and 200 descriptors, the platform's front accepted nobody for 25 s; the log has "listener stopped elapsed_ms=1093", 2136, 3145, 4166.

Cause: a flood closes one connection for each that it opens, and 12 descriptors may be in use by closed ones until the next poll. Whichever listener the poll reported first took all 12, each time.

ConnectionCapacityTest.floodOnOneFrontLeavesTheOtherItsAcceptsBetweenTwoPolls fails without the change.

Change: a quota counts what its listener has accepted since the last poll while all descriptors were in use, up to its own part of the 12. ConnectionCapacityTest.descriptorsOfClosedConnectionsAreUsedAfterTheNextPoll expects the parts in place of one sum.

--- a/node/src/main/java/fawnlb/client/ConnectionCapacity.java
+++ b/node/src/main/java/fawnlb/client/ConnectionCapacity.java
@@ -5,7 +5,9 @@
 import fawnlb.metrics.Metric;
 import fawnlb.metrics.Metrics;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -22,6 +24,8 @@
     private final RoomMaker roomMaker;
     private final Timers timers;
     private List<Runnable> waitingListeners = new ArrayList<>();
+    /** The limits whose counts since the last poll end with the next one. */
+    private final Set<ConnectionLimit> awaitingPoll = new HashSet<>();
 
     /** Closes connections without a request. */
     @FunctionalInterface
@@ -60,8 +64,14 @@
 
     private boolean hasDescriptor(ConnectionQuota quota) {
         ConnectionLimit limit = quota.limit();
+        int usedDescriptors = usedDescriptors(limit);
         return connections.size(quota) < quota.maxOpenConnections()
-                && size(limit) + limit.closingDescriptors() < limit.maxDescriptors();
+                && (usedDescriptors < limit.maxConnections()
+                        || usedDescriptors < limit.maxDescriptors() && quota.mayAcceptOverLimit());
+    }
+
+    private int usedDescriptors(ConnectionLimit limit) {
+        return size(limit) + limit.closingDescriptors();
     }
 
     /**
@@ -71,6 +81,10 @@
      */
     void makeRoomForAccepted(ConnectionQuota quota) {
         ConnectionLimit limit = quota.limit();
+        if (usedDescriptors(limit) >= limit.maxConnections()) {
+            quota.onAcceptedOverLimit();
+            schedulePolled(limit);
+        }
         if (isQuotaFull(quota) || size(limit) >= limit.maxConnections()) {
             tryMakeRoom(quota);
         }
@@ -116,11 +130,15 @@
 
     /** Must be called when a connection was closed. Its descriptor is free after the next poll. */
     void onConnectionClosed(ConnectionQuota quota) {
-        ConnectionLimit limit = quota.limit();
-        limit.onConnectionClosed();
-        if (limit.closingDescriptors() == 1) {
+        quota.limit().onConnectionClosed();
+        schedulePolled(quota.limit());
+    }
+
+    private void schedulePolled(ConnectionLimit limit) {
+        if (awaitingPoll.add(limit)) {
             timers.schedule(NEXT_POLL_NANOS, () -> {
-                limit.onDescriptorsFreed();
+                awaitingPoll.remove(limit);
+                limit.onPolled();
                 notifyWaitingListeners();
             });
         }
--- a/node/src/main/java/fawnlb/client/ConnectionLimit.java
+++ b/node/src/main/java/fawnlb/client/ConnectionLimit.java
@@ -59,7 +59,8 @@
     }
 
     /** Must be called after a poll of the I/O thread, which frees the descriptors of closed connections. */
-    void onDescriptorsFreed() {
+    void onPolled() {
         closingDescriptors = 0;
+        quotas.forEach(ConnectionQuota::onPolled);
     }
 }
--- a/node/src/main/java/fawnlb/client/ConnectionQuota.java
+++ b/node/src/main/java/fawnlb/client/ConnectionQuota.java
@@ -13,6 +13,8 @@
     private final int maxConnections;
     private final int guaranteedConnections;
     private final int maxOverLimit;
+    /** How many connections were accepted since the I/O thread's last poll although all descriptors were in use. */
+    private int acceptedOverLimit;
 
     /**
      * Creates a quota, which its limit must list.
@@ -55,4 +57,22 @@
     int maxOpenConnections() {
         return maxConnections + maxOverLimit;
     }
+
+    /**
+     * Whether the listener may accept one more connection before the next poll although all descriptors are in use. Its
+     * part of those that are kept for it is its own: a flood on one listener would take all of them from the others.
+     */
+    boolean mayAcceptOverLimit() {
+        return acceptedOverLimit < maxOverLimit;
+    }
+
+    /** Must be called when a connection was accepted although all descriptors were in use. */
+    void onAcceptedOverLimit() {
+        acceptedOverLimit++;
+    }
+
+    /** Must be called after a poll of the I/O thread. */
+    void onPolled() {
+        acceptedOverLimit = 0;
+    }
 }
