Name the delay to the next poll once, and close a method that has no other caller

client.ConnectionCapacity had its own copy of Listener.NEXT_POLL_NANOS; ProgressDetector.hasPartialEvent is used by its class alone since hasEvent. Behaviour is unchanged: nine test classes of connections, streams and packages, none failed; the linter is clean.

--- a/node/src/main/java/fawnlb/client/ConnectionCapacity.java
+++ b/node/src/main/java/fawnlb/client/ConnectionCapacity.java
@@ -17,9 +17,6 @@
  */
 @EventLoopOnly
 final class ConnectionCapacity {
-    /** The delay of a timer that runs as soon as the I/O thread has polled its sockets. */
-    private static final long NEXT_POLL_NANOS = 1;
-
     private final ConnectionTable connections;
     private final RoomMaker roomMaker;
     private final Timers timers;
@@ -136,7 +133,7 @@
 
     private void schedulePolled(ConnectionLimit limit) {
         if (awaitingPoll.add(limit)) {
-            timers.schedule(NEXT_POLL_NANOS, () -> {
+            timers.schedule(Listener.NEXT_POLL_NANOS, () -> {
                 awaitingPoll.remove(limit);
                 limit.onPolled();
                 notifyWaitingListeners();
--- a/node/src/main/java/fawnlb/client/Listener.java
+++ b/node/src/main/java/fawnlb/client/Listener.java
@@ -34,7 +34,7 @@
     /** How long a graceful close waits while accepts keep failing. Then the queued connections are reset. */
     private static final long CLOSE_TIMEOUT_NANOS = 2_000_000_000L;
     /** The delay of a timer that runs as soon as the thread has polled its sockets. */
-    private static final long NEXT_POLL_NANOS = 1;
+    static final long NEXT_POLL_NANOS = 1;
 
     private static final long NOT_STOPPED = Long.MIN_VALUE;
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
--- a/node/src/main/java/fawnlb/stream/ProgressDetector.java
+++ b/node/src/main/java/fawnlb/stream/ProgressDetector.java
@@ -138,7 +138,7 @@
     }
 
     /** Whether an event has begun and is not complete. */
-    boolean hasPartialEvent() {
+    private boolean hasPartialEvent() {
         return progress.partialEventBytes() > 0;
     }
 
